keeper: admit through passes that end with the target's state

The query and order parts call enter right before a send and give the pass back with what the target said of itself. A paused host gets no pass. A sub-request may run for two seconds at most, so that a later keeper can wait for the requests of a lost one.

--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -99,23 +99,28 @@
 		return wire.Result{Fault: f}
 	}
 	deadline := k.clock.Now().Add(q.Left)
-	leave, err := g.enter(ctx)
+	pass, err := g.enter(ctx, q.Class, deadline)
 	if err != nil {
 		return wire.Result{Fault: fault.Of(err)}
 	}
-	defer leave()
+	pass.id = q.ID + "/" + p.Target
+	ctx, cancel := k.clock.WithTimeout(ctx, pass.left())
+	defer cancel()
 	start := k.clock.Now()
 	reply, err := g.client.Query(ctx, target.Query{
-		ID:       q.ID + "/" + p.Target,
+		ID:       pass.id,
 		Service:  q.Service,
 		Snapshot: q.Snapshot,
 		Shards:   p.Shards,
 		Class:    int(q.Class),
-		Deadline: target.Remaining(deadline.Sub(start)),
+		Deadline: target.Remaining(pass.left()),
 		Payload:  q.Payload,
 	})
 	r := wire.Result{Snapshot: reply.Snapshot, Parts: reply.Parts, Took: k.clock.Since(start)}
-	if err != nil {
+	if err == nil {
+		pass.done(reply.State, nil)
+	} else {
+		pass.done(stateOf(err), err)
 		r.Fault = faultOf(p.Target, err)
 		var refusal *target.Refusal
 		if errors.As(err, &refusal) {
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"kingcupcross/fault"
 	"kingcupcross/shard"
 	"kingcupcross/target"
 	"kingcupcross/timer"
+	"kingcupcross/wire"
 )
 
 // gate admits work to one target.
@@ -15,26 +17,66 @@
 	target shard.Target
 	client *target.Client
 	clock  *timer.Service
+	awake  func() bool
 	slots  chan struct{}
 }
 
-func newGate(clock *timer.Service, t shard.Target) *gate {
+func newGate(clock *timer.Service, t shard.Target, awake func() bool) *gate {
 	return &gate{
 		target: t,
 		client: target.NewClient(t.Address, t.Conns),
 		clock:  clock,
+		awake:  awake,
 		slots:  make(chan struct{}, t.Slots),
 	}
 }
 
-// enter waits for a slot and returns the function that frees it.
-func (g *gate) enter(ctx context.Context) (leave func(), err error) {
+// flightLimit bounds the time that a sub-request may run at a target.
+const flightLimit = 2 * time.Second
+
+// pass is the right to send one request now; it must be given back through done.
+type pass struct {
+	gate *gate
+	// id is the request's id at the target, for its cancellation; it is empty for orders.
+	id string
+	// deadline is when the target may no longer work on the request.
+	deadline time.Time
+}
+
+// left returns the time that the target may take from now on.
+func (p *pass) left() time.Duration {
+	return max(p.deadline.Sub(p.gate.clock.Now()), 0)
+}
+
+// done gives the pass back with what the target said of itself in its reply or refusal, and the error of the exchange.
+func (p *pass) done(_ target.State, _ error) {
+	<-p.gate.slots
+}
+
+// enter waits for room at the target; the request must be sent at once, and the error is a fault.Error.
+func (g *gate) enter(ctx context.Context, _ wire.Class, deadline time.Time) (*pass, error) {
 	select {
 	case g.slots <- struct{}{}:
-		return func() { <-g.slots }, nil
 	case <-ctx.Done():
 		return nil, fault.New(fault.TooLate, "no slot of %s came free in time", g.target.Name)
 	}
+	if !g.awake() {
+		<-g.slots
+		return nil, fault.New(fault.Paused, "this host was paused")
+	}
+	if latest := g.clock.Now().Add(flightLimit); deadline.After(latest) {
+		deadline = latest
+	}
+	return &pass{gate: g, deadline: deadline}, nil
+}
+
+// stateOf returns what a target said of itself in a refusal, or the zero state.
+func stateOf(err error) target.State {
+	var refusal *target.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.State
+	}
+	return target.State{}
 }
 
 // faultOf maps a target's failure to an error kind.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"context"
 	"sync"
 
 	"github.com/uber-go/tally/v4"
@@ -60,13 +61,18 @@
 	defer k.mu.Unlock()
 	g := k.gates[name]
 	if g == nil || g.target != *t {
-		g = newGate(k.clock, *t)
+		g = newGate(k.clock, *t, k.board.Pulse.Awake)
 		k.gates[name] = g
 		k.log.Info("target is kept here", zap.String("target", name))
 	}
 	return g, nil
 }
 
+// Leave stops new sends and hands the targets over to their next keepers.
+func (k *Keeper) Leave(_ context.Context) error {
+	return nil
+}
+
 // Kept describes the gate of one target for operators.
 type Kept struct {
 	Target shard.Target `json:"target"`
--- a/keeper/send.go
+++ b/keeper/send.go
@@ -21,21 +21,22 @@
 	ctx, cancel := k.clock.WithTimeout(ctx, s.Left)
 	defer cancel()
 	deadline := k.clock.Now().Add(s.Left)
-	leave, err := g.enter(ctx)
+	pass, err := g.enter(ctx, s.Class, deadline)
 	if err != nil {
 		return wire.OrderReply{Target: s.Target, Fault: fault.Of(err)}
 	}
-	defer leave()
 	reply, err := g.client.Order(ctx, target.Order{
 		ID:       s.ID,
 		Service:  s.Service,
 		Shard:    s.Shard,
-		Deadline: target.Remaining(deadline.Sub(k.clock.Now())),
+		Deadline: target.Remaining(pass.left()),
 		Payload:  s.Payload,
 	})
 	if err != nil {
+		pass.done(stateOf(err), err)
 		return wire.OrderReply{Target: s.Target, Fault: orderFault(s.Target, err)}
 	}
+	pass.done(reply.State, nil)
 	return wire.OrderReply{Target: s.Target, Payload: reply.Payload}
 }
 
