--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -19,6 +19,8 @@
 	board *board.Board
 	log   *zap.Logger
 	scope tally.Scope
+	// choice names the keepers of all targets.
+	choice *chooser
 
 	mu    sync.Mutex
 	gates map[string]*gate
@@ -28,12 +30,13 @@
 // New returns a keeper that reads views, maps and settings from the board.
 func New(clock *timer.Service, b *board.Board, log *zap.Logger, scope tally.Scope) *Keeper {
 	return &Keeper{
-		clock: clock,
-		board: b,
-		log:   log,
-		scope: scope,
-		gates: map[string]*gate{},
-		asks:  map[string]*ask{},
+		clock:  clock,
+		board:  b,
+		log:    log,
+		scope:  scope,
+		choice: &chooser{board: b},
+		gates:  map[string]*gate{},
+		asks:   map[string]*ask{},
 	}
 }
 
@@ -53,7 +56,7 @@
 	if t == nil {
 		return nil, fault.New(fault.Moved, "%s is not in the shard map of %s", name, service)
 	}
-	owner, found := Choose(k.board.View.Load(), *t)
+	owner, found := k.choice.load().Keeper(name)
 	if !found || owner.Name != k.board.Self.Name {
 		return nil, fault.New(fault.Moved, "%s is kept by %s", name, owner.Name)
 	}
@@ -68,6 +71,11 @@
 	return g, nil
 }
 
+// Table returns the keepers of all targets by the newest view and maps.
+func (k *Keeper) Table() *Table {
+	return k.choice.load()
+}
+
 // Leave stops new sends and hands the targets over to their next keepers.
 func (k *Keeper) Leave(_ context.Context) error {
 	return nil
--- a/keeper/remote.go
+++ b/keeper/remote.go
@@ -55,6 +55,11 @@
 	return &Links{self: self, own: own, dialer: dialer}
 }
 
+// Table returns the keepers of all targets by the newest view and maps.
+func (l *Links) Table() *Table {
+	return l.own.Table()
+}
+
 // Ask calls the keeper m; the error is a wire.CallError where no answer came.
 func (l *Links) Ask(ctx context.Context, m wire.Member, q wire.Ask) (r wire.AskReply, err error) {
 	if m.Name == l.self {
--- a/order/book.go
+++ b/order/book.go
@@ -101,10 +101,10 @@
 	if o.Shard < 0 || o.Shard >= len(m.Shards) {
 		return wire.OrderReply{Fault: fault.New(fault.Invalid, "%s has no shard %d", o.Service, o.Shard)}
 	}
-	view, settings := b.board.View.Load(), b.board.Tree.Load()
+	table, settings := b.links.Table(), b.board.Tree.Load()
 	for _, i := range m.Shards[o.Shard] {
 		t := m.Targets[i]
-		k, found := keeper.Choose(view, t)
+		k, found := table.Keeper(t.Name)
 		if !found || settings.Out(k.Region, t.Datacentre) {
 			continue
 		}
--- a/query/plan.go
+++ b/query/plan.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"kingcupcross/board"
 	"kingcupcross/keeper"
 	"kingcupcross/shard"
 	"kingcupcross/wire"
@@ -15,10 +14,10 @@
 
 // plan assigns shards to replicas that were not tried before and groups them by keeper.
 func (e *Engine) plan(m *shard.Map, shards []int, tried map[int]map[int]bool) (batches []batch, lost []int) {
-	view := e.board.View.Load()
+	table := e.links.Table()
 	chosen := map[int][]int{}
 	for _, s := range shards {
-		t, found := e.replica(m, view, s, tried[s])
+		t, found := e.replica(m, table, s, tried[s])
 		if !found {
 			lost = append(lost, s)
 			continue
@@ -29,16 +28,16 @@
 		tried[s][t] = true
 		chosen[t] = append(chosen[t], s)
 	}
-	return group(m, view, chosen), lost
+	return group(m, table, chosen), lost
 }
 
 // replica prefers this host's data centre and then spreads over the replicas by shard.
-func (e *Engine) replica(m *shard.Map, view *board.View, s int, tried map[int]bool) (int, bool) {
+func (e *Engine) replica(m *shard.Map, table *keeper.Table, s int, tried map[int]bool) (int, bool) {
 	replicas := m.Shards[s]
 	best, found := 0, false
 	for i := range replicas {
 		t := replicas[(s+i)%len(replicas)]
-		if tried[t] || !e.usable(view, m.Targets[t]) {
+		if tried[t] || !e.usable(table, m.Targets[t]) {
 			continue
 		}
 		if !found || (m.Targets[t].Datacentre == e.board.Self.Datacentre && m.Targets[best].Datacentre != e.board.Self.Datacentre) {
@@ -48,16 +47,16 @@
 	return best, found
 }
 
-func (e *Engine) usable(view *board.View, t shard.Target) bool {
-	k, found := keeper.Choose(view, t)
+func (e *Engine) usable(table *keeper.Table, t shard.Target) bool {
+	k, found := table.Keeper(t.Name)
 	return found && !e.board.Tree.Load().Out(k.Region, t.Datacentre)
 }
 
-func group(m *shard.Map, view *board.View, chosen map[int][]int) []batch {
+func group(m *shard.Map, table *keeper.Table, chosen map[int][]int) []batch {
 	byKeeper := map[string]int{}
 	var batches []batch
 	for t, shards := range chosen {
-		k, _ := keeper.Choose(view, m.Targets[t])
+		k, _ := table.Keeper(m.Targets[t].Name)
 		i, known := byKeeper[k.Name]
 		if !known {
 			i = len(batches)
