--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,6 +24,7 @@
 	mu       sync.Mutex
 	open     map[net.Conn]bool
 	closed   bool
+	serving  sync.WaitGroup
 }
 
 // NewServer returns a server for the listener; parts are registered before Serve.
@@ -52,6 +54,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
+	defer s.serving.Done()
 	s.rpc.ServeConn(conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -66,6 +69,7 @@
 		return false
 	}
 	s.open[conn] = true
+	s.serving.Add(1)
 	return true
 }
 
@@ -90,6 +94,22 @@
 type line struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	conn   *lineConn
+}
+
+// lineConn notes when the other side has ended the connection, so that no call is sent into it.
+type lineConn struct {
+	net.Conn
+	ended atomic.Bool
+}
+
+// Read reads and notes the end.
+func (c *lineConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.ended.Store(true)
+	}
+	return n, err
 }
 
 // NewDialer returns a dialer without connections.
@@ -153,14 +173,15 @@
 	d.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.client != nil {
+	if l.client != nil && !l.conn.ended.Load() {
 		return l.client, nil
 	}
 	conn, err := net.DialTimeout("tcp", address.String(), dialTimeout)
 	if err != nil {
 		return nil, err
 	}
-	l.client = rpc.NewClient(conn)
+	l.conn = &lineConn{Conn: conn}
+	l.client = rpc.NewClient(l.conn)
 	return l.client, nil
 }
 
