--- a/keeper/send.go
+++ b/keeper/send.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"kingcupcross/fault"
 	"kingcupcross/target"
 	"kingcupcross/wire"
 )
 
-// Send sends an order to its target, at most once.
+// orderWait is how long the outcome of an order that has begun is waited for after its time.
+const orderWait = time.Minute
+
+// Send sends an order to its target, at most once; the order begins within its time or not at all.
 func (k *Keeper) Send(ctx context.Context, s wire.Send) wire.OrderReply {
 	if f := k.refuse(); f != nil {
 		return wire.OrderReply{Target: s.Target, Fault: f}
@@ -18,33 +22,66 @@
 	if f != nil {
 		return wire.OrderReply{Target: s.Target, Fault: f}
 	}
-	ctx, cancel := k.clock.WithTimeout(ctx, s.Left)
-	defer cancel()
 	deadline := k.clock.Now().Add(s.Left)
-	pass, err := g.enter(ctx, s.Class, deadline)
+	begin, cancel := k.clock.WithTimeout(ctx, s.Left)
+	defer cancel()
+	p, err := g.enter(begin, s.Class, deadline)
 	if err != nil {
 		return wire.OrderReply{Target: s.Target, Fault: fault.Of(err)}
 	}
-	reply, err := g.client.Order(ctx, target.Order{
+	reply, f := k.exchange(begin, g, p, s)
+	return wire.OrderReply{Target: s.Target, Payload: reply.Payload, Fault: f}
+}
+
+// exchange sends the order once it has a slot; a host that was paused sends nothing.
+func (k *Keeper) exchange(begin context.Context, g *gate, p *pass, s wire.Send) (target.OrderReply, *fault.Error) {
+	left := p.left()
+	if left <= 0 {
+		late := fault.New(fault.TooLate, "no slot of %s came free in time", s.Target)
+		p.done(target.State{}, late)
+		return target.OrderReply{}, late
+	}
+	ctx, cancel := k.clock.WithTimeout(context.Background(), left+orderWait)
+	defer cancel()
+	reply, err := g.client.Order(ctx, begin, k.awake, target.Order{
 		ID:       s.ID,
 		Service:  s.Service,
 		Shard:    s.Shard,
-		Deadline: target.Remaining(pass.left()),
+		Deadline: target.Remaining(left),
 		Payload:  s.Payload,
 	})
 	if err != nil {
-		pass.done(stateOf(err), err)
-		return wire.OrderReply{Target: s.Target, Fault: orderFault(s.Target, err)}
+		p.done(stateOf(err), err)
+		return target.OrderReply{}, orderFault(s.Target, err)
 	}
-	pass.done(reply.State, nil)
-	return wire.OrderReply{Target: s.Target, Payload: reply.Payload}
+	p.done(reply.State, nil)
+	return reply, nil
 }
 
-// orderFault says "not run" only where no byte left or the target itself refused.
+// awake refuses to send from a host that was paused.
+func (k *Keeper) awake() error {
+	if !k.board.Pulse.Awake() {
+		return fault.New(fault.Paused, "%s was paused", k.board.Self.Name)
+	}
+	return nil
+}
+
+// orderFault says "not run" only where the order never left or the target itself refused it.
 func orderFault(name string, err error) *fault.Error {
 	var failed *target.SendError
-	if errors.As(err, &failed) && !failed.Sent {
+	if !errors.As(err, &failed) || failed.Sent {
+		return fault.New(fault.Unknown, "%s: %v", name, err)
+	}
+	var refusal *target.Refusal
+	var own *fault.Error
+	switch {
+	case errors.As(err, &own):
+		return own
+	case errors.As(err, &refusal) && refusal.Reason == target.Bad:
+		return fault.New(fault.Invalid, "%s finds the order malformed", name)
+	case errors.Is(err, target.ErrNotBegun):
+		return fault.New(fault.TooLate, "no connection to %s came free in time", name)
+	default:
 		return faultOf(name, failed.Err)
 	}
-	return fault.New(fault.Unknown, "%s: %v", name, err)
 }
