peers: probes, suspicion and news in constant cost per host

The thin version pinged every host of the platform's list twice a second from every host. Now each host probes one member of its data centre per period; data centres meet through two hosts per pair. The dialer replaces dead connections, honours the context while it dials, and a late reply no longer writes into a caller's value.

--- a/board/board.go
+++ b/board/board.go
@@ -36,6 +36,8 @@
 	View  *Cell[View]
 	Pulse *Pulse
 	phase atomic.Uint32
+	// joined says that this host has met its peers or knows that it has none.
+	joined atomic.Bool
 }
 
 // New returns the board of the host self, which knows itself only.
@@ -65,6 +67,16 @@
 	}
 }
 
+// Join notes that this host has met its peers or knows that it has none.
+func (b *Board) Join() {
+	b.joined.Store(true)
+}
+
+// Joined reports whether Join was called: a host that knows no peers yet must not take itself for the only one.
+func (b *Board) Joined() bool {
+	return b.joined.Load()
+}
+
 // SelfOut reports whether this host's data centre has been taken out.
 func (b *Board) SelfOut() bool {
 	return b.Tree.Load().Out(b.Self.Region, b.Self.Datacentre)
--- a/host/host.go
+++ b/host/host.go
@@ -82,7 +82,7 @@
 		dialer: dialer,
 		keeper: k,
 		book:   book,
-		peers:  peers.New(clock, b, dialer, platform.Hosts, c.Seeds, l.For("peers")),
+		peers:  peers.New(clock, b, dialer, platform.Hosts, c.Seeds, l.For("peers"), m.Scope.SubScope("peers")),
 		spread: spread.New(clock, b, platform, l.For("spread")),
 		entry:  entry.New(clock, b, engine, book, l.For("entry"), m.Scope.SubScope("entry")),
 		admin:  admin.New(b, k, m),
@@ -192,7 +192,7 @@
 func (h *Host) leave() error {
 	h.log.Info("host leaves")
 	h.board.Advance(board.Leaving)
-	h.peers.Leave()
+	h.peers.Leave(context.Background())
 	deadline := h.clock.Now().Add(h.conf.Grace.D())
 	tick := h.clock.Every(leavePoll)
 	defer tick.Stop()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"kingcupcross/board"
@@ -16,150 +17,275 @@
 )
 
 const (
-	period      = 500 * time.Millisecond
-	pingTimeout = 400 * time.Millisecond
-	// misses is the number of pings without an answer after which a host counts as dead.
-	misses = 3
+	// period is the time between two probes that a host makes.
+	period = 200 * time.Millisecond
+	// probeTimeout ends a probe, and again those that others make on this host's behalf.
+	probeTimeout = 300 * time.Millisecond
+	// suspicionBase is how long a suspicion stands among up to ten hosts before it becomes death.
+	suspicionBase = 800 * time.Millisecond
+	// syncTimeout ends an exchange of tables.
+	syncTimeout = time.Second
+	// markPeriod is the time between two publications of a view in which only settings' numbers changed.
+	markPeriod = time.Second
 )
 
-// Peers pings the hosts of the platform's list and of the settings.
+// SilenceBound is the shortest time from a host's last sign of life to its death by silence; it is longer than board.PulseLimit, so a host that paused long enough to be taken for dead knows that it paused.
+const SilenceBound = 2*probeTimeout + suspicionBase
+
+// Peers keeps the view of the other hosts on the board.
 type Peers struct {
-	clock  *timer.Service
-	board  *board.Board
-	dialer *wire.Dialer
-	hosts  func(context.Context) ([]store.Host, error)
-	seeds  []netip.AddrPort
-	log    *zap.Logger
-
-	mu     sync.Mutex
-	missed map[netip.AddrPort]int
+	// Heard is told of each host that was heard from, with its settings and shard maps; it must not block.
+	Heard func(wire.Member, wire.Heads)
+	// Heads returns this host's settings and shard maps.
+	Heads func() wire.Heads
+
+	clock *timer.Service
+	board *board.Board
+	call  func(ctx context.Context, address netip.AddrPort, method string, args, reply any) error
+	hosts func(context.Context) ([]store.Host, error)
+	seeds []netip.AddrPort
+	log   *zap.Logger
+	scope tally.Scope
+	// spawn runs a part of a period beside the others, and fan runs some calls at once and waits for all.
+	spawn func(func())
+	fan   func([]func())
+	// lost brings the addresses whose connections broke.
+	lost chan netip.AddrPort
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	table    *table
+	size     int
+	news     queue[string]
+	marks    queue[string]
+	farMarks queue[string]
+	links    map[linkKey]wire.Link
+	linkNews queue[linkKey]
+	bridges  map[string]*bridge
+	round    []string
+	ticks    uint64
+	dirty    bool
+	marked   bool
+	shown    time.Time
+	changes  []wire.Member
+	synced   time.Time
+	replaced bool
+	started  time.Time
+	meeting  *meeting
+	listed   listed
 }
 
 // New returns the membership part; hosts reads the platform's list.
-func New(clock *timer.Service, b *board.Board, dialer *wire.Dialer, hosts func(context.Context) ([]store.Host, error), seeds []netip.AddrPort, log *zap.Logger) *Peers {
-	return &Peers{
-		clock:  clock,
-		board:  b,
-		dialer: dialer,
-		hosts:  hosts,
-		seeds:  seeds,
-		log:    log,
-		missed: map[netip.AddrPort]int{},
+func New(clock *timer.Service, b *board.Board, dialer *wire.Dialer, hosts func(context.Context) ([]store.Host, error), seeds []netip.AddrPort, log *zap.Logger, scope tally.Scope) *Peers {
+	p := &Peers{
+		Heard:    func(wire.Member, wire.Heads) {},
+		Heads:    func() wire.Heads { return wire.Heads{} },
+		clock:    clock,
+		board:    b,
+		call:     dialer.Call,
+		hosts:    hosts,
+		seeds:    seeds,
+		log:      log,
+		scope:    scope,
+		spawn:    func(f func()) { go f() },
+		fan:      fan,
+		lost:     make(chan netip.AddrPort, lostBacklog),
+		random:   rand.New(rand.NewPCG(b.Self.Incarnation, uint64(clock.Now().UnixNano()))),
+		table:    newTable(b.View.Load().Members[b.Self.Name], clock.Now()),
+		size:     1,
+		news:     queue[string]{},
+		marks:    queue[string]{},
+		farMarks: queue[string]{},
+		links:    map[linkKey]wire.Link{},
+		linkNews: queue[linkKey]{},
+		bridges:  map[string]*bridge{},
+		started:  clock.Now(),
 	}
+	dialer.Lost = p.Lost
+	return p
 }
 
-// Run pings until the context ends.
+const lostBacklog = 64
+
+func fan(calls []func()) {
+	var group sync.WaitGroup
+	for _, f := range calls {
+		group.Go(f)
+	}
+	group.Wait()
+}
+
+// Lost notes that the connection to an address was ended by the other side, which calls for a probe at once.
+func (p *Peers) Lost(a netip.AddrPort) {
+	select {
+	case p.lost <- a:
+	default:
+	}
+}
+
+// Run probes until the context ends.
 func (p *Peers) Run(ctx context.Context) error {
 	tick := p.clock.Every(period)
 	defer tick.Stop()
 	for {
-		p.round(ctx)
+		p.step(ctx)
 		select {
 		case <-tick.C:
+		case a := <-p.lost:
+			p.probeAddress(ctx, a)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-func (p *Peers) round(ctx context.Context) {
-	addresses := map[netip.AddrPort]bool{}
-	for _, a := range p.seeds {
-		addresses[a] = true
-	}
-	if hosts, err := p.hosts(ctx); err == nil {
-		for _, h := range hosts {
-			addresses[h.Peers] = true
-		}
-	}
-	for _, m := range p.board.View.Load().Members {
-		addresses[m.Peers] = true
+// step does the work of one period.
+func (p *Peers) step(ctx context.Context) {
+	p.expire()
+	p.refresh(ctx)
+	p.gather(ctx)
+	if m, found := p.next(); found {
+		p.spawn(func() { p.probe(ctx, m) })
 	}
-	delete(addresses, p.board.Self.Peers)
-	var group sync.WaitGroup
-	for a := range addresses {
-		group.Go(func() { p.ping(ctx, a) })
+	p.bridgeStep(ctx)
+	if m, found := p.silent(); found {
+		p.spawn(func() { p.sync(ctx, m.Peers) })
 	}
-	group.Wait()
+	p.publish()
 }
 
-func (p *Peers) ping(ctx context.Context, a netip.AddrPort) {
-	ctx, cancel := p.clock.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	var m wire.Member
-	err := p.dialer.Call(ctx, a, Remote+".Ping", wire.None{}, &m)
+// expire turns suspicions that stood for their time into deaths and drops records whose time is over.
+func (p *Peers) expire() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err == nil {
-		p.missed[a] = 0
-		p.note(m)
-		return
-	}
-	p.missed[a]++
-	if p.missed[a] >= misses {
-		p.lose(a)
+	p.ticks++
+	now := p.clock.Now()
+	awake := p.board.Pulse.Awake()
+	for _, r := range p.table.rows {
+		if r.verdict.IsZero() || now.Before(r.verdict) {
+			continue
+		}
+		if !awake {
+			// This host was paused: an answer to the suspicion may wait in its own buffers.
+			r.verdict = now.Add(p.suspicion())
+			continue
+		}
+		m := r.member
+		m.State = wire.Dead
+		p.accept(m)
 	}
+	p.table.forget(now)
 }
 
-func (p *Peers) note(m wire.Member) {
-	p.board.View.Update(func(v *board.View) *board.View {
-		old, known := v.Members[m.Name]
-		if known && (old == m || old.Incarnation > m.Incarnation) {
-			return nil
+// next returns the member to probe: each member of the data centre once a round, in an order that is shuffled anew for each.
+func (p *Peers) next() (wire.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range 2 {
+		for len(p.round) > 0 {
+			name := p.round[0]
+			p.round = p.round[1:]
+			if r := p.table.rows[name]; r != nil && r.member.State != wire.Dead {
+				return r.member, true
+			}
 		}
-		if !known || old.State != m.State || old.Incarnation != m.Incarnation {
-			p.log.Info("host changed", zap.String("peer", m.String()), zap.Stringer("state", m.State))
+		for _, m := range p.table.pick(p.neighbour) {
+			p.round = append(p.round, m.Name)
 		}
-		next := &board.View{Members: maps.Clone(v.Members)}
-		next.Members[m.Name] = m
-		return next
-	})
+		p.random.Shuffle(len(p.round), func(i, j int) { p.round[i], p.round[j] = p.round[j], p.round[i] })
+	}
+	return wire.Member{}, false
 }
 
-func (p *Peers) lose(a netip.AddrPort) {
-	p.board.View.Update(func(v *board.View) *board.View {
-		for name, m := range v.Members {
-			if m.Peers != a || m.State == wire.Dead {
-				continue
-			}
-			p.log.Info("host lost", zap.String("peer", m.String()))
-			next := &board.View{Members: maps.Clone(v.Members)}
-			m.State = wire.Dead
-			next.Members[name] = m
-			return next
-		}
-		return nil
-	})
+// neighbour says whether m is another host of this data centre that isn't dead.
+func (p *Peers) neighbour(m *wire.Member) bool {
+	return m.Datacentre == p.board.Self.Datacentre && m.Name != p.board.Self.Name && m.State != wire.Dead
 }
 
-// Leave tells the next pings of other hosts that this host is leaving.
-func (p *Peers) Leave() {
-	p.board.View.Update(func(v *board.View) *board.View {
-		next := &board.View{Members: maps.Clone(v.Members)}
-		m := next.Members[p.board.Self.Name]
-		m.State = wire.Leaving
-		next.Members[m.Name] = m
-		return next
+// silentTicks is the number of periods between two tries at a host that is dead by silence.
+const silentTicks = 5
+
+// silent returns now and then a host of this data centre that is dead by silence: it may have been cut off and be back.
+func (p *Peers) silent() (wire.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ticks%silentTicks != 0 {
+		return wire.Member{}, false
+	}
+	dead := p.table.pick(func(m *wire.Member) bool {
+		return m.Datacentre == p.board.Self.Datacentre && m.State == wire.Dead && !m.Proof
 	})
+	if len(dead) == 0 {
+		return wire.Member{}, false
+	}
+	return dead[p.random.IntN(len(dead))], true
 }
 
-// Remote names this part in calls between hosts.
-const Remote = "Peers"
+// suspicion is the time that a suspicion stands; it grows with the time that news takes to travel.
+func (p *Peers) suspicion() time.Duration {
+	stands := suspicionBase
+	for n := p.size; n > 10; n /= 10 {
+		stands += suspicionBase
+	}
+	return stands
+}
 
-// Service answers other hosts' pings.
-type Service struct {
-	peers *Peers
+// publish puts the table on the board if it changed: a change of state at once, settings' numbers in batches.
+func (p *Peers) publish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if !p.dirty && (!p.marked || now.Sub(p.shown) < markPeriod) {
+		return
+	}
+	p.dirty, p.marked, p.shown = false, false, now
+	cut := p.cutOff()
+	members := make(map[string]wire.Member, len(p.table.rows))
+	p.size = 0
+	for name, r := range p.table.rows {
+		m := r.member
+		if m.Datacentre == p.board.Self.Datacentre && living(&m) {
+			p.size++
+		}
+		if cut[m.Datacentre] && living(&m) {
+			m.State = wire.Cut
+		}
+		members[name] = m
+	}
+	p.board.View.Update(func(*board.View) *board.View { return &board.View{Members: members} })
+	p.scope.Gauge("hosts").Update(float64(p.size))
+	for _, m := range p.changes {
+		p.log.Info("host changed", zap.Stringer("peer", m.HostID), zap.Stringer("state", m.State), zap.Bool("proof", m.Proof))
+	}
+	p.changes = nil
 }
 
-// NewService returns the part of the net/rpc server that answers for p.
-func NewService(p *Peers) *Service {
-	return &Service{peers: p}
+// Leave marks this host as leaving and tells all of its data centre, and a host of each other one, before it returns.
+func (p *Peers) Leave(ctx context.Context) {
+	p.mu.Lock()
+	own := p.table.rows[p.board.Self.Name].member
+	own.State = wire.Leaving
+	p.spreadNews(&p.table.put(own, p.clock.Now()).member)
+	p.dirty = true
+	told := p.table.pick(p.neighbour)
+	for datacentre, members := range p.elsewhere() {
+		told = append(told, rank(members, pair(p.board.Self.Datacentre, datacentre))[0])
+	}
+	g := p.greeting()
+	p.mu.Unlock()
+	p.publish()
+	calls := make([]func(), 0, len(told))
+	for _, m := range told {
+		calls = append(calls, func() { p.tell(ctx, m, g) })
+	}
+	p.fan(calls)
 }
 
-// Ping answers with this host as it sees itself.
-func (s *Service) Ping(_ wire.None, r *wire.Member) error {
-	b := s.peers.board
-	*r = b.View.Load().Members[b.Self.Name]
-	r.Settings = b.Tree.Load().N
-	return nil
+func (p *Peers) tell(ctx context.Context, m wire.Member, g wire.Gossip) {
+	ctx, cancel := p.clock.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var answer wire.Gossip
+	if err := p.call(ctx, m.Peers, Remote+".Probe", g, &answer); err != nil {
+		p.scope.Counter("untold").Inc(1)
+	}
 }
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -6,7 +6,10 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"reflect"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,7 +17,60 @@
 	"kingcupcross/fault"
 )
 
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds a dial that all callers of one address share.
+	dialTimeout = time.Second
+	// writeTimeout ends a connection whose other side has stopped reading.
+	writeTimeout = 5 * time.Second
+	// silentLimit is how long a connection may bring nothing while calls are given up on before it is replaced.
+	silentLimit = 5 * time.Second
+)
+
+// conn bounds each write, notes when bytes came and tells its end once.
+type conn struct {
+	net.Conn
+	heard atomic.Int64
+	ended sync.Once
+	// end is called with whether the other side ended the connection.
+	end func(remote bool)
+}
+
+func newConn(c net.Conn, end func(remote bool)) *conn {
+	k := &conn{Conn: c, end: end}
+	k.heard.Store(time.Now().UnixNano())
+	return k
+}
+
+// Read notes that the other side lives.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	if err != nil {
+		c.ended.Do(func() { c.end(true) })
+	}
+	return n, err
+}
+
+// Write fails where the other side takes nothing for writeTimeout.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		// Half a message may be out: nothing after it could be understood.
+		c.Close()
+	}
+	return n, err
+}
+
+// Close ends the connection from this side.
+func (c *conn) Close() error {
+	c.ended.Do(func() { c.end(false) })
+	return c.Conn.Close()
+}
 
 // Server serves net/rpc calls of other hosts.
 type Server struct {
@@ -38,34 +94,34 @@
 // Serve accepts connections until Close.
 func (s *Server) Serve() error {
 	for {
-		conn, err := s.listener.Accept()
+		c, err := s.listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			return eris.Wrap(err, "accept host")
 		}
-		if s.track(conn) {
-			go s.serve(conn)
+		if s.track(c) {
+			go s.serve(c)
 		}
 	}
 }
 
-func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeConn(conn)
+func (s *Server) serve(c net.Conn) {
+	s.rpc.ServeConn(newConn(c, func(bool) {}))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.open, conn)
+	delete(s.open, c)
 }
 
-func (s *Server) track(conn net.Conn) bool {
+func (s *Server) track(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		conn.Close()
+		c.Close()
 		return false
 	}
-	s.open[conn] = true
+	s.open[c] = true
 	return true
 }
 
@@ -82,19 +138,30 @@
 
 // Dialer keeps one connection to each host that is called.
 type Dialer struct {
-	mu    sync.Mutex
-	lines map[netip.AddrPort]*line
+	// Lost is told of each connection that the other side ended; it must be set before the first call and must not block.
+	Lost func(netip.AddrPort)
+
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	mu     sync.Mutex
+	lines  map[netip.AddrPort]*line
+	closed bool
 }
 
-// line is the connection to one host; its own lock keeps a slow dial from holding up calls to other hosts.
+// line is a connection to one host, or the dial that is to make it.
 type line struct {
-	mu     sync.Mutex
+	ready  chan struct{}
 	client *rpc.Client
+	conn   *conn
+	err    error
 }
 
 // NewDialer returns a dialer without connections.
 func NewDialer() *Dialer {
-	return &Dialer{lines: map[netip.AddrPort]*line{}}
+	return &Dialer{
+		Lost:  func(netip.AddrPort) {},
+		dial:  (&net.Dialer{}).DialContext,
+		lines: map[netip.AddrPort]*line{},
+	}
 }
 
 // CallError is a call that gave no answer.
@@ -116,76 +183,119 @@
 	return e.Err
 }
 
-// Call calls a method of the host at address; where no answer comes the error is a CallError.
+// Refused reports whether err says that the machine answers and no process listens at the address.
+func Refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// Call calls a method of the host at address; where no answer comes the error is a CallError, and reply is untouched then and later.
 func (d *Dialer) Call(ctx context.Context, address netip.AddrPort, method string, args, reply any) error {
-	client, err := d.client(address)
+	l, err := d.line(ctx, address)
 	if err != nil {
 		return &CallError{Address: address, Method: method, Sent: false, Err: err}
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A late answer must not reach a caller that has given up, so it is decoded into a value of its own.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	done := make(chan *rpc.Call, 1)
+	// A write to a host that reads nothing blocks, so it has a goroutine of its own, which writeTimeout ends.
+	go l.client.Go(method, args, own.Interface(), done)
 	select {
-	case <-call.Done:
+	case call := <-done:
 		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
 			return nil
 		}
-		return d.failed(address, method, client, call.Error)
+		return d.failed(address, method, l, call.Error)
 	case <-ctx.Done():
+		if time.Since(time.Unix(0, l.conn.heard.Load())) > silentLimit {
+			l.client.Close()
+		}
 		return &CallError{Address: address, Method: method, Sent: true, Err: context.Cause(ctx)}
 	}
 }
 
-func (d *Dialer) failed(address netip.AddrPort, method string, client *rpc.Client, err error) error {
+func (d *Dialer) failed(address netip.AddrPort, method string, l *line, err error) error {
 	var remote rpc.ServerError
 	if errors.As(err, &remote) {
 		return fault.New(fault.Internal, "%s at %s: %s", method, address, remote)
 	}
-	d.forget(address, client)
+	l.client.Close()
 	return &CallError{Address: address, Method: method, Sent: true, Err: err}
 }
 
-func (d *Dialer) client(address netip.AddrPort) (*rpc.Client, error) {
+// line returns the connection to an address; callers that come during a dial wait for it, each no longer than its own context.
+func (d *Dialer) line(ctx context.Context, address netip.AddrPort) (*line, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, context.Cause(ctx)
+	}
 	d.mu.Lock()
+	if d.closed {
+		d.mu.Unlock()
+		return nil, net.ErrClosed
+	}
 	l := d.lines[address]
 	if l == nil {
-		l = &line{}
+		l = &line{ready: make(chan struct{})}
 		d.lines[address] = l
+		go d.connect(address, l)
 	}
 	d.mu.Unlock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, nil
+	select {
+	case <-l.ready:
+		return l, l.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
 	}
-	conn, err := net.DialTimeout("tcp", address.String(), dialTimeout)
+}
+
+func (d *Dialer) connect(address netip.AddrPort, l *line) {
+	defer close(l.ready)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	c, err := d.dial(ctx, "tcp", address.String())
 	if err != nil {
-		return nil, err
+		l.err = err
+		d.forget(address, l)
+		return
+	}
+	l.conn = newConn(c, func(remote bool) {
+		d.forget(address, l)
+		if remote {
+			d.Lost(address)
+		}
+	})
+	l.client = rpc.NewClient(l.conn)
+	d.mu.Lock()
+	closed := d.closed
+	d.mu.Unlock()
+	if closed {
+		l.client.Close()
 	}
-	l.client = rpc.NewClient(conn)
-	return l.client, nil
 }
 
-func (d *Dialer) forget(address netip.AddrPort, client *rpc.Client) {
+// forget makes the next call dial anew.
+func (d *Dialer) forget(address netip.AddrPort, l *line) {
 	d.mu.Lock()
-	l := d.lines[address]
-	d.mu.Unlock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client == client {
-		l.client = nil
+	defer d.mu.Unlock()
+	if d.lines[address] == l {
+		delete(d.lines, address)
 	}
-	client.Close()
 }
 
-// Close closes all connections.
+// Close closes all connections; later calls fail.
 func (d *Dialer) Close() {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, l := range d.lines {
-		l.mu.Lock()
-		if l.client != nil {
-			l.client.Close()
-			l.client = nil
+	d.closed = true
+	lines := d.lines
+	d.lines = map[netip.AddrPort]*line{}
+	d.mu.Unlock()
+	for _, l := range lines {
+		select {
+		case <-l.ready:
+			if l.client != nil {
+				l.client.Close()
+			}
+		default:
 		}
-		l.mu.Unlock()
 	}
 }
