spread: settings and maps from two watchers per data centre and from peers

Every host polled the store twice a second. Now two hosts per data centre watch it, and what is new is offered down a tree of bounded fan-out and fetched from peers; probes make up for a lost offer. A writer settles a lost reply by repeating the same create-if-absent write: an empty read proves nothing, as a replica may lag.

--- a/emul/store.go
+++ b/emul/store.go
@@ -68,6 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.wake()
 }
 
 // Calls returns the number of calls by kind.
@@ -139,13 +140,18 @@
 	reply(w, http.StatusOK, e)
 }
 
+// seen is the revision up to which reads see the store: that of a replica which lags by the fault's number of revisions.
+func (s *Store) seen() uint64 {
+	return s.revision - min(s.faults.StaleBy, s.revision)
+}
+
 // read returns the key as a replica sees it that lags by the fault's number of revisions.
 func (s *Store) read(key string) (store.Entry, bool) {
 	e, found := s.entries[key]
 	if s.faults.StaleBy == 0 {
 		return e, found
 	}
-	seen := s.revision - min(s.faults.StaleBy, s.revision)
+	seen := s.seen()
 	if found && e.Revision <= seen {
 		return e, true
 	}
@@ -239,7 +245,7 @@
 	}
 	s.mu.Lock()
 	s.lapse()
-	page := store.Page{Revision: s.revision}
+	page := store.Page{Revision: s.seen()}
 	for key := range s.entries {
 		if !strings.HasPrefix(key, q.Get("prefix")) || key <= q.Get("after") {
 			continue
@@ -279,9 +285,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse()
-	page := store.Page{Revision: s.revision}
-	for key, e := range s.entries {
-		if strings.HasPrefix(key, prefix) && e.Revision > after {
+	page := store.Page{Revision: max(s.seen(), after)}
+	for key := range s.entries {
+		e, found := s.read(key)
+		if found && strings.HasPrefix(key, prefix) && e.Revision > after {
 			page.Entries = append(page.Entries, e)
 		}
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -73,7 +73,7 @@
 	links := keeper.NewLinks(c.Name, k, dialer)
 	book := order.New(clock, b, links, dialer, l.For("order"), m.Scope.SubScope("order"))
 	engine := query.New(clock, b, links, l.For("query"), m.Scope.SubScope("query"))
-	return &Host{
+	h := &Host{
 		conf:   c,
 		clock:  clock,
 		log:    l.For("host"),
@@ -82,11 +82,15 @@
 		dialer: dialer,
 		keeper: k,
 		book:   book,
-		peers:  peers.New(clock, b, dialer, platform.Hosts, c.Seeds, l.For("peers"), m.Scope.SubScope("peers")),
-		spread: spread.New(clock, b, platform, l.For("spread")),
+		peers:  peers.New(clock, b, dialer.Call, platform.Hosts, c.Seeds, l.For("peers"), m.Scope.SubScope("peers")),
+		spread: spread.New(clock, b, platform, dialer.Call, l.For("spread"), m.Scope.SubScope("spread")),
 		entry:  entry.New(clock, b, engine, book, l.For("entry"), m.Scope.SubScope("entry")),
 		admin:  admin.New(b, k, m),
-	}, nil
+	}
+	dialer.Lost = h.peers.Lost
+	h.peers.Heard = h.spread.Heard
+	h.peers.Heads = h.spread.Heads
+	return h, nil
 }
 
 // Run serves until a signal or a failure ends it; after a signal it returns nil once all requests in flight are finished.
@@ -149,6 +153,7 @@
 		{name: keeper.Remote, part: keeper.NewService(h.keeper)},
 		{name: order.Remote, part: order.NewService(h.book)},
 		{name: peers.Remote, part: peers.NewService(h.peers)},
+		{name: spread.Remote, part: spread.NewService(h.spread)},
 	}
 	for _, p := range parts {
 		if err := s.Register(p.name, p.part); err != nil {
--- a/peers/bridge.go
+++ b/peers/bridge.go
@@ -99,7 +99,7 @@
 	p.mu.Unlock()
 	slices.SortFunc(due, func(a, b *bridge) int { return cmp.Compare(a.datacentre, b.datacentre) })
 	for _, b := range due {
-		p.spawn(func() { p.cross(ctx, b) })
+		p.Spawn(func() { p.cross(ctx, b) })
 	}
 }
 
--- a/peers/join.go
+++ b/peers/join.go
@@ -69,7 +69,7 @@
 	m.busy = m.busy || start
 	p.mu.Unlock()
 	if start {
-		p.spawn(func() { p.meet(ctx, m) })
+		p.Spawn(func() { p.meet(ctx, m) })
 	}
 }
 
@@ -164,18 +164,26 @@
 
 // refresh reads the platform's list, which names hosts that this one may not know; the list lags, so it is believed in nothing else.
 func (p *Peers) refresh(ctx context.Context) {
+	if p.listDue() {
+		p.Spawn(func() { p.readList(ctx) })
+	}
+}
+
+// listDue says whether this host is to read the list now.
+func (p *Peers) listDue() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	if now.Before(p.listed.next) {
-		return
+		return false
 	}
 	p.listed.next = now.Add(p.jitter(listPeriod))
 	if p.size > 1 && p.board.Joined() && !p.reads() {
-		return
+		return false
 	}
+	// The reading sets the next time when it is done.
 	p.listed.next = now.Add(listSlowest)
-	p.spawn(func() { p.readList(ctx) })
+	return true
 }
 
 // reads says whether this host is one of its data centre's readers of the list.
@@ -245,7 +253,7 @@
 	}
 	p.mu.Unlock()
 	if due {
-		p.spawn(func() { p.sync(context.Background(), m.Peers) })
+		p.Spawn(func() { p.sync(context.Background(), m.Peers) })
 	}
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -38,17 +38,16 @@
 	Heard func(wire.Member, wire.Heads)
 	// Heads returns this host's settings and shard maps.
 	Heads func() wire.Heads
+	// Spawn runs a part of a period beside the others.
+	Spawn func(func())
 
 	clock *timer.Service
 	board *board.Board
-	call  func(ctx context.Context, address netip.AddrPort, method string, args, reply any) error
+	call  wire.Caller
 	hosts func(context.Context) ([]store.Host, error)
 	seeds []netip.AddrPort
 	log   *zap.Logger
 	scope tally.Scope
-	// spawn runs a part of a period beside the others, and fan runs some calls at once and waits for all.
-	spawn func(func())
-	fan   func([]func())
 	// lost brings the addresses whose connections broke.
 	lost chan netip.AddrPort
 
@@ -75,20 +74,19 @@
 	listed   listed
 }
 
-// New returns the membership part; hosts reads the platform's list.
-func New(clock *timer.Service, b *board.Board, dialer *wire.Dialer, hosts func(context.Context) ([]store.Host, error), seeds []netip.AddrPort, log *zap.Logger, scope tally.Scope) *Peers {
-	p := &Peers{
+// New returns the membership part, which reaches other hosts by call; hosts reads the platform's list.
+func New(clock *timer.Service, b *board.Board, call wire.Caller, hosts func(context.Context) ([]store.Host, error), seeds []netip.AddrPort, log *zap.Logger, scope tally.Scope) *Peers {
+	return &Peers{
 		Heard:    func(wire.Member, wire.Heads) {},
 		Heads:    func() wire.Heads { return wire.Heads{} },
+		Spawn:    func(f func()) { go f() },
 		clock:    clock,
 		board:    b,
-		call:     dialer.Call,
+		call:     call,
 		hosts:    hosts,
 		seeds:    seeds,
 		log:      log,
 		scope:    scope,
-		spawn:    func(f func()) { go f() },
-		fan:      fan,
 		lost:     make(chan netip.AddrPort, lostBacklog),
 		random:   rand.New(rand.NewPCG(b.Self.Incarnation, uint64(clock.Now().UnixNano()))),
 		table:    newTable(b.View.Load().Members[b.Self.Name], clock.Now()),
@@ -101,16 +99,19 @@
 		bridges:  map[string]*bridge{},
 		started:  clock.Now(),
 	}
-	dialer.Lost = p.Lost
-	return p
 }
 
 const lostBacklog = 64
 
-func fan(calls []func()) {
+// fan runs some calls at once and waits for all.
+func (p *Peers) fan(calls []func()) {
 	var group sync.WaitGroup
 	for _, f := range calls {
-		group.Go(f)
+		group.Add(1)
+		p.Spawn(func() {
+			defer group.Done()
+			f()
+		})
 	}
 	group.Wait()
 }
@@ -128,7 +129,7 @@
 	tick := p.clock.Every(period)
 	defer tick.Stop()
 	for {
-		p.step(ctx)
+		p.Step(ctx)
 		select {
 		case <-tick.C:
 		case a := <-p.lost:
@@ -139,17 +140,17 @@
 	}
 }
 
-// step does the work of one period.
-func (p *Peers) step(ctx context.Context) {
+// Step does the work of one period; Run calls it.
+func (p *Peers) Step(ctx context.Context) {
 	p.expire()
 	p.refresh(ctx)
 	p.gather(ctx)
 	if m, found := p.next(); found {
-		p.spawn(func() { p.probe(ctx, m) })
+		p.Spawn(func() { p.probe(ctx, m) })
 	}
 	p.bridgeStep(ctx)
 	if m, found := p.silent(); found {
-		p.spawn(func() { p.sync(ctx, m.Peers) })
+		p.Spawn(func() { p.sync(ctx, m.Peers) })
 	}
 	p.publish()
 }
--- a/peers/probe.go
+++ b/peers/probe.go
@@ -86,7 +86,7 @@
 	found := p.table.pick(func(m *wire.Member) bool { return m.Peers == a && p.neighbour(m) })
 	p.mu.Unlock()
 	for _, m := range found {
-		p.spawn(func() { p.probe(ctx, m) })
+		p.Spawn(func() { p.probe(ctx, m) })
 	}
 }
 
--- a/peers/table.go
+++ b/peers/table.go
@@ -128,3 +128,8 @@
 	ranked := rank(candidates, key)
 	return ranked[:min(n, len(ranked))]
 }
+
+// Bridges returns the hosts of a data centre that exchange news with another one.
+func Bridges(members map[string]wire.Member, datacentre, other string) []wire.Member {
+	return First(members, datacentre, pair(datacentre, other), bridgesPerPair)
+}
--- a/store/client.go
+++ b/store/client.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -51,7 +53,7 @@
 	return entry, err == nil, err
 }
 
-// Put writes a key if it stands at the expected revision; after an error of kind fault.Store the write may or may not have taken effect.
+// Put writes a key if it stands at the expected revision; after an error of kind fault.Store whose Ran is set the write may or may not have taken effect.
 func (c *Client) Put(ctx context.Context, key string, w Write) (revision uint64, err error) {
 	var done Written
 	status, err := c.call(ctx, http.MethodPut, PathKey+url.PathEscape(key), w, &done, callTimeout)
@@ -122,13 +124,19 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, fault.New(fault.Store, "%s %s: %v", method, path, err)
+		f := fault.New(fault.Store, "%s %s: %v", method, path, err)
+		f.Ran = method != http.MethodGet && !errors.Is(err, syscall.ECONNREFUSED)
+		return 0, f
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode, decode(resp, method+" "+path, out)
+	if err := decode(resp, method+" "+path, out); err != nil {
+		err.Ran = method != http.MethodGet
+		return resp.StatusCode, err
+	}
+	return resp.StatusCode, nil
 }
 
-func decode(resp *http.Response, what string, out any) error {
+func decode(resp *http.Response, what string, out any) *fault.Error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPage))
 	if err != nil {
 		return fault.New(fault.Store, "%s: %v", what, err)
--- a/tree/change.go
+++ b/tree/change.go
@@ -20,7 +20,9 @@
 	// N is the change's number; the log has no gaps.
 	N uint64 `json:"n"`
 	// ID is chosen at random by the client, which tells its own change from another's by it.
-	ID     string    `json:"id"`
+	ID string `json:"id"`
+	// Prev is the id of the change before, so that a change never lands on another history than its author saw.
+	Prev   string    `json:"prev,omitempty"`
 	Author string    `json:"author"`
 	Reason string    `json:"reason"`
 	Time   time.Time `json:"time"`
@@ -46,6 +48,9 @@
 	if c.N != t.N+1 {
 		return nil, fmt.Errorf("change %d doesn't follow change %d", c.N, t.N)
 	}
+	if c.Prev != "" && c.Prev != t.Last {
+		return nil, fmt.Errorf("change %d follows change %s, not %s", c.N, c.Prev, t.Last)
+	}
 	next := t.clone()
 	next.N, next.Last = c.N, c.ID
 	for _, o := range c.Ops {
--- /dev/null
+++ b/tree/encode.go
@@ -0,0 +1,40 @@
+package tree
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// snapshot is the form in which a whole tree travels and is stored.
+type snapshot struct {
+	N      uint64         `json:"n"`
+	Last   string         `json:"last"`
+	Levels map[Path]Level `json:"levels"`
+}
+
+// Encode returns the tree as JSON.
+func (t *Tree) Encode() ([]byte, error) {
+	return json.Marshal(snapshot{N: t.N, Last: t.Last, Levels: t.levels})
+}
+
+// Decode returns the tree that Encode wrote; it fails where the tree doesn't pass the checks.
+func Decode(b []byte) (*Tree, error) {
+	var s snapshot
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, err
+	}
+	if s.N == 0 || s.Last == "" {
+		return nil, fmt.Errorf("snapshot: n and last must be given")
+	}
+	t := Empty()
+	t.N, t.Last = s.N, s.Last
+	for p, l := range s.Levels {
+		if len(l) > 0 {
+			t.levels[p] = l
+		}
+	}
+	if problems := t.Check(); len(problems) > 0 {
+		return nil, problems[0]
+	}
+	return t, nil
+}
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -164,6 +164,9 @@
 	}
 }
 
+// Caller calls a method of the host at an address; Dialer.Call is one.
+type Caller func(ctx context.Context, address netip.AddrPort, method string, args, reply any) error
+
 // CallError is a call that gave no answer.
 type CallError struct {
 	Address netip.AddrPort
