--- a/host/leave.go
+++ b/host/leave.go
@@ -77,7 +77,7 @@
 	ctx, cancel := h.clock.WithTimeout(context.Background(), h.conf.Grace.D())
 	defer cancel()
 	h.board.Advance(board.Leaving)
-	h.peers.Leave()
+	h.peers.Leave(ctx)
 	handed := make(chan error, 1)
 	go func() { handed <- h.handOver(ctx) }()
 	h.pause(ctx, leaveNotice)
