--- a/target/client.go
+++ b/target/client.go
@@ -4,13 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -39,6 +35,8 @@
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		// An order's body leaves only once the target has answered its head.
+		ExpectContinueTimeout: continueTimeout,
 	}
 	return &Client{
 		base:      "http://" + address.String(),
@@ -77,60 +75,6 @@
 	return r, nil
 }
 
-// SendError is the failure of an order and says whether bytes of it may have left.
-type SendError struct {
-	// Sent says that the target may have got the order.
-	Sent bool
-	Err  error
-}
-
-// Error returns the failure's text.
-func (e *SendError) Error() string {
-	return fmt.Sprintf("order failed (may have left: %t): %v", e.Sent, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *SendError) Unwrap() error {
-	return e.Err
-}
-
-// onceBody can be read once only, so that no layer below can send the order a second time.
-type onceBody struct {
-	io.Reader
-}
-
-// Close does nothing.
-func (onceBody) Close() error {
-	return nil
-}
-
-// Order sends an order once; the error is a SendError, with a Refusal as its cause where the target did not begin the work.
-func (c *Client) Order(ctx context.Context, o Order) (OrderReply, error) {
-	var r OrderReply
-	body, err := json.Marshal(o)
-	if err != nil {
-		return r, &SendError{Sent: false, Err: err}
-	}
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, c.base+PathOrder, onceBody{Reader: bytes.NewReader(body)})
-	if err != nil {
-		return r, &SendError{Sent: false, Err: err}
-	}
-	req.ContentLength = int64(len(body))
-	err = exchange(c.orders, req, &r)
-	var refusal *Refusal
-	switch {
-	case errors.As(err, &refusal):
-		return r, &SendError{Sent: false, Err: refusal}
-	case err != nil:
-		return r, &SendError{Sent: sent.Load(), Err: err}
-	case r.ID != o.ID:
-		return r, &SendError{Sent: true, Err: eris.Errorf("reply to %q came for %q", r.ID, o.ID)}
-	}
-	return r, nil
-}
-
 // Cancel asks the target to stop work on a sub-request.
 func (c *Client) Cancel(ctx context.Context, id string) error {
 	body, err := json.Marshal(Cancel{ID: id})
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	open     map[net.Conn]bool
 	closed   bool
+	serving  sync.WaitGroup
 }
 
 // NewServer returns a server for the listener; parts are registered before Serve.
@@ -52,6 +53,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
+	defer s.serving.Done()
 	s.rpc.ServeConn(conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -66,6 +68,7 @@
 		return false
 	}
 	s.open[conn] = true
+	s.serving.Add(1)
 	return true
 }
 
