order: keep at most once over repeats, refusals, hand-over and callers' keys

A refusal seals the attempt, so that a delayed copy of a refused order never runs; only the minting host says 'not run' of a ticket; a floor bounds the record; a leaving host's record goes to two successors that may only tell; keys are claimed in documents of the store, gathered by one host of a data centre.

--- a/keeper/remote.go
+++ b/keeper/remote.go
@@ -87,6 +87,9 @@
 	if m.Name == l.self {
 		return l.own.Send(ctx, s), nil
 	}
-	err = l.dialer.Call(ctx, m.Peers, Remote+".Send", s, &r)
-	return r, err
+	if err := l.dialer.Call(ctx, m.Peers, Remote+".Send", s, &r); err != nil {
+		// A late reply may still be written to r.
+		return wire.OrderReply{}, err
+	}
+	return r, nil
 }
--- a/keeper/send.go
+++ b/keeper/send.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"kingcupcross/fault"
 	"kingcupcross/target"
 	"kingcupcross/wire"
 )
 
-// Send sends an order to its target, at most once.
+// orderWait is how long the outcome of an order that has begun is waited for after its time.
+const orderWait = time.Minute
+
+// Send sends an order to its target, at most once; the order begins within its time or not at all.
 func (k *Keeper) Send(ctx context.Context, s wire.Send) wire.OrderReply {
 	if f := k.refuse(); f != nil {
 		return wire.OrderReply{Target: s.Target, Fault: f}
@@ -18,32 +22,63 @@
 	if f != nil {
 		return wire.OrderReply{Target: s.Target, Fault: f}
 	}
-	ctx, cancel := k.clock.WithTimeout(ctx, s.Left)
-	defer cancel()
 	deadline := k.clock.Now().Add(s.Left)
-	leave, err := g.enter(ctx)
+	begin, cancel := k.clock.WithTimeout(ctx, s.Left)
+	defer cancel()
+	leave, err := g.enter(begin)
 	if err != nil {
 		return wire.OrderReply{Target: s.Target, Fault: fault.Of(err)}
 	}
 	defer leave()
-	reply, err := g.client.Order(ctx, target.Order{
+	reply, f := k.exchange(begin, g, s, deadline)
+	return wire.OrderReply{Target: s.Target, Payload: reply.Payload, Fault: f}
+}
+
+// exchange sends the order once it has a slot; a host that was paused sends nothing.
+func (k *Keeper) exchange(begin context.Context, g *gate, s wire.Send, deadline time.Time) (target.OrderReply, *fault.Error) {
+	left := deadline.Sub(k.clock.Now())
+	if left <= 0 {
+		return target.OrderReply{}, fault.New(fault.TooLate, "no slot of %s came free in time", s.Target)
+	}
+	ctx, cancel := k.clock.WithTimeout(context.Background(), left+orderWait)
+	defer cancel()
+	reply, err := g.client.Order(ctx, begin, k.awake, target.Order{
 		ID:       s.ID,
 		Service:  s.Service,
 		Shard:    s.Shard,
-		Deadline: target.Remaining(deadline.Sub(k.clock.Now())),
+		Deadline: target.Remaining(left),
 		Payload:  s.Payload,
 	})
 	if err != nil {
-		return wire.OrderReply{Target: s.Target, Fault: orderFault(s.Target, err)}
+		return target.OrderReply{}, orderFault(s.Target, err)
 	}
-	return wire.OrderReply{Target: s.Target, Payload: reply.Payload}
+	return reply, nil
 }
 
-// orderFault says "not run" only where no byte left or the target itself refused.
+// awake refuses to send from a host that was paused.
+func (k *Keeper) awake() error {
+	if !k.board.Pulse.Awake() {
+		return fault.New(fault.Paused, "%s was paused", k.board.Self.Name)
+	}
+	return nil
+}
+
+// orderFault says "not run" only where the order never left or the target itself refused it.
 func orderFault(name string, err error) *fault.Error {
 	var failed *target.SendError
-	if errors.As(err, &failed) && !failed.Sent {
+	if !errors.As(err, &failed) || failed.Sent {
+		return fault.New(fault.Unknown, "%s: %v", name, err)
+	}
+	var refusal *target.Refusal
+	var own *fault.Error
+	switch {
+	case errors.As(err, &own):
+		return own
+	case errors.As(err, &refusal) && refusal.Reason == target.Bad:
+		return fault.New(fault.Invalid, "%s finds the order malformed", name)
+	case errors.Is(err, target.ErrNotBegun):
+		return fault.New(fault.TooLate, "no connection to %s came free in time", name)
+	default:
 		return faultOf(name, failed.Err)
 	}
-	return fault.New(fault.Unknown, "%s: %v", name, err)
 }
--- a/order/book.go
+++ b/order/book.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 	"kingcupcross/board"
 	"kingcupcross/fault"
 	"kingcupcross/keeper"
+	"kingcupcross/store"
 	"kingcupcross/timer"
 	"kingcupcross/wire"
 )
@@ -20,31 +20,64 @@
 type Book struct {
 	clock  *timer.Service
 	board  *board.Board
-	links  *keeper.Links
 	dialer *wire.Dialer
 	log    *zap.Logger
 	scope  tally.Scope
+	claims *claims
+
+	// send carries an order to a keeper; the error is a wire.CallError where no answer came.
+	send func(ctx context.Context, keeper wire.Member, s wire.Send) (wire.OrderReply, error)
+	// guards are the mechanisms that tests take out one at a time.
+	guards guards
 
 	mu      sync.Mutex
-	next    uint64
-	entries map[uint64]*entry
+	closed  bool
+	ledger  *ledger
+	adopted map[wire.HostID]*adoption
+	// under is the number of orders under way; idle is closed when it falls to zero after Close.
+	under int
+	idle  chan struct{}
 }
 
-type entry struct {
-	done  chan struct{}
-	reply wire.OrderReply
+// guards hold the seams of the mechanisms that keep an order from running twice.
+type guards struct {
+	// remembers reports whether a ticket that has a record is answered from it.
+	remembers func() bool
+	// mints reports whether only the minting incarnation runs a ticket.
+	mints func() bool
+	// seals reports whether a refusal is kept as the ticket's outcome.
+	seals func() bool
+	// floors reports whether tickets at or below the floor are refused.
+	floors func() bool
+	// certain reports whether a lost call counts as one that may have run.
+	certain func() bool
+	// claims reports whether a key is claimed in the store before its order runs.
+	claims func() bool
 }
 
-// New returns an empty book.
-func New(clock *timer.Service, b *board.Board, links *keeper.Links, dialer *wire.Dialer, log *zap.Logger, scope tally.Scope) *Book {
+func always() bool { return true }
+
+// New returns an empty book that claims callers' keys in the platform's store.
+func New(clock *timer.Service, b *board.Board, links *keeper.Links, dialer *wire.Dialer, platform *store.Client, log *zap.Logger, scope tally.Scope) *Book {
 	return &Book{
 		clock:   clock,
 		board:   b,
-		links:   links,
 		dialer:  dialer,
 		log:     log,
 		scope:   scope,
-		entries: map[uint64]*entry{},
+		claims:  newClaims(clock, b, dialer, platform, scope),
+		send:    links.Send,
+		ledger:  newLedger(clock),
+		adopted: map[wire.HostID]*adoption{},
+		idle:    make(chan struct{}),
+		guards: guards{
+			remembers: always,
+			mints:     always,
+			seals:     always,
+			floors:    always,
+			certain:   always,
+			claims:    always,
+		},
 	}
 }
 
@@ -52,127 +85,98 @@
 func (b *Book) Mint(n int) []wire.Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	first := b.ledger.mint(n)
 	tickets := make([]wire.Ticket, 0, n)
-	for range n {
-		b.next++
-		tickets = append(tickets, wire.Ticket{Host: b.board.Self.HostID, Sequence: b.next})
+	for i := range n {
+		tickets = append(tickets, wire.Ticket{
+			Host:       b.board.Self.HostID,
+			Datacentre: b.board.Self.Datacentre,
+			Sequence:   first + uint64(i),
+		})
 	}
 	return tickets
 }
 
 // Run runs an order at the host that minted its ticket, or tells what came of it there.
 func (b *Book) Run(ctx context.Context, o wire.Order) wire.OrderReply {
-	if o.Ticket.Host == b.board.Self.HostID {
-		return b.own(ctx, o)
+	if o.Ticket.Host == b.board.Self.HostID || !b.guards.mints() {
+		return b.own(o)
 	}
+	b.scope.Counter("forwarded").Inc(1)
 	return b.forward(ctx, o)
 }
 
-func (b *Book) own(ctx context.Context, o wire.Order) wire.OrderReply {
-	b.mu.Lock()
-	if o.Ticket.Sequence == 0 || o.Ticket.Sequence > b.next {
-		b.mu.Unlock()
-		return wire.OrderReply{Fault: fault.New(fault.Invalid, "this host has not minted the ticket")}
+// Refuse answers an order that this host won't take because of f: it says "not run" only of a ticket of its own, which then never runs.
+func (b *Book) Refuse(o wire.Order, f *fault.Error) wire.OrderReply {
+	if o.Ticket.Host != b.board.Self.HostID {
+		return wire.OrderReply{Fault: unsure(f)}
 	}
-	e, known := b.entries[o.Ticket.Sequence]
-	if !known {
-		e = &entry{done: make(chan struct{})}
-		b.entries[o.Ticket.Sequence] = e
+	r, fresh, refused := b.begin(o)
+	if refused != nil {
+		return wire.OrderReply{Fault: refused}
 	}
-	b.mu.Unlock()
-	if !known {
-		e.reply = b.send(ctx, o)
-		close(e.done)
-	}
-	select {
-	case <-e.done:
-		return e.reply
-	case <-b.clock.After(o.Left):
-		return wire.OrderReply{Fault: fault.New(fault.Unknown, "the order is still under way: ask again with the same ticket")}
+	if fresh {
+		b.settle(o.Ticket.Sequence, r, wire.OrderReply{Fault: f})
 	}
+	return b.await(r, o.Left)
 }
 
-// send tries one replica only: once bytes may have left, no other may get the order.
-func (b *Book) send(ctx context.Context, o wire.Order) wire.OrderReply {
-	m := b.board.Map(o.Service)
-	if m == nil {
-		return wire.OrderReply{Fault: fault.New(fault.NoService, "no shard map of %s", o.Service)}
-	}
-	if o.Shard < 0 || o.Shard >= len(m.Shards) {
-		return wire.OrderReply{Fault: fault.New(fault.Invalid, "%s has no shard %d", o.Service, o.Shard)}
-	}
-	view, settings := b.board.View.Load(), b.board.Tree.Load()
-	for _, i := range m.Shards[o.Shard] {
-		t := m.Targets[i]
-		k, found := keeper.Choose(view, t)
-		if !found || settings.Out(k.Region, t.Datacentre) {
-			continue
-		}
-		s := wire.Send{
-			ID:      Format(o.Ticket),
-			From:    b.board.Self.HostID,
-			Service: o.Service,
-			Shard:   o.Shard,
-			Target:  t.Name,
-			Class:   o.Class,
-			Left:    o.Left,
-			Payload: o.Payload,
-		}
-		reply, err := b.links.Send(ctx, k, s)
-		if err != nil {
-			reply.Fault = lost(err)
-		}
-		return reply
+// RefuseKeyed answers an order with a key that this host won't take because of f.
+func (b *Book) RefuseKeyed(k Key, f *fault.Error) wire.OrderReply {
+	if k.Repeated {
+		f = unsure(f)
 	}
-	return wire.OrderReply{Fault: fault.New(fault.NoReplica, "no replica of shard %d of %s can be reached", o.Shard, o.Service)}
+	return wire.OrderReply{Fault: f}
 }
 
-// forward asks the minting host, the only one that may run the order.
-func (b *Book) forward(ctx context.Context, o wire.Order) wire.OrderReply {
-	m, known := b.board.View.Load().Members[o.Ticket.Host.Name]
-	if !known || m.Incarnation != o.Ticket.Host.Incarnation {
-		return wire.OrderReply{Fault: fault.New(fault.Unknown, "the host that minted the ticket is gone")}
+// RunKeyed runs the order of a caller's own key, or tells what came of it at the host that holds the key.
+func (b *Book) RunKeyed(ctx context.Context, k Key, o wire.Order) wire.OrderReply {
+	if f := k.check(b.clock.Now()); f != nil {
+		return wire.OrderReply{Fault: f}
 	}
-	var reply wire.OrderReply
-	ctx, cancel := b.clock.WithTimeout(ctx, o.Left+forwardGrace)
-	defer cancel()
-	if err := b.dialer.Call(ctx, m.Peers, Remote+".Run", o, &reply); err != nil {
-		reply.Fault = lost(err)
+	start := b.clock.Now()
+	o.Ticket = b.Mint(1)[0]
+	if b.guards.claims() {
+		ticket, f := b.holder(ctx, k, o)
+		if f != nil {
+			return b.RefuseKeyed(k, b.Refuse(o, f).Fault)
+		}
+		o.Ticket = ticket
 	}
-	return reply
+	o.Left -= b.clock.Since(start)
+	return b.Run(ctx, o)
 }
 
-// forwardGrace is added to an order's time, so that the answer of the minting host arrives.
-const forwardGrace = 100 * time.Millisecond
-
-// lost is the fault of an order whose call gave no answer: not run only if the call never left.
-func lost(err error) *fault.Error {
-	var call *wire.CallError
-	if errors.As(err, &call) && !call.Sent {
-		return fault.New(fault.NoReplica, "%v", err)
+// holder returns the ticket that the key stands for, which is the order's own where nobody has claimed the key before.
+func (b *Book) holder(ctx context.Context, k Key, o wire.Order) (wire.Ticket, *fault.Error) {
+	claimed := make(chan wire.Claimed, 1)
+	go func() { claimed <- b.claims.take(context.WithoutCancel(ctx), k.claim(Format(o.Ticket))) }()
+	timeout, stop := b.timeout(o.Left)
+	defer stop()
+	select {
+	case held := <-claimed:
+		if held.Fault != nil {
+			return wire.Ticket{}, held.Fault
+		}
+		ticket, err := Parse(held.Ticket)
+		if err != nil {
+			return wire.Ticket{}, fault.New(fault.Store, "the claim of the key holds %q", held.Ticket)
+		}
+		return ticket, nil
+	case <-timeout:
+		return wire.Ticket{}, fault.New(fault.Store, "the key wasn't claimed in time")
 	}
-	return fault.New(fault.Unknown, "%v", err)
 }
 
-// Remote names this part in calls between hosts.
-const Remote = "Order"
-
-// Service answers other hosts' calls to this host's book.
-type Service struct {
-	book *Book
+// timeout returns a channel that is closed once d has passed.
+func (b *Book) timeout(d time.Duration) (<-chan struct{}, func() bool) {
+	c := make(chan struct{})
+	return c, b.clock.AfterFunc(d, func() { close(c) })
 }
 
-// NewService returns the part of the net/rpc server that answers for b.
-func NewService(b *Book) *Service {
-	return &Service{book: b}
-}
-
-// Run answers the call of that name.
-func (s *Service) Run(o wire.Order, r *wire.OrderReply) error {
-	if o.Ticket.Host != s.book.board.Self.HostID {
-		r.Fault = fault.New(fault.Unknown, "the host that minted the ticket is gone")
-		return nil
-	}
-	*r = s.book.own(context.Background(), o)
-	return nil
+// unsure returns f without its claim that nothing ran: only the minting host knows.
+func unsure(f *fault.Error) *fault.Error {
+	c := *f
+	c.Ran = true
+	return &c
 }
--- a/order/ticket.go
+++ b/order/ticket.go
@@ -8,26 +8,38 @@
 	"kingcupcross/wire"
 )
 
+// A ticket's bytes: incarnation, sequence, length of the host's name, name, data centre.
+const (
+	ticketHead = 17
+	maxName    = 255
+)
+
 // Format writes a ticket as callers get it.
 func Format(t wire.Ticket) string {
+	name := t.Host.Name[:min(len(t.Host.Name), maxName)]
 	b := binary.BigEndian.AppendUint64(nil, t.Host.Incarnation)
 	b = binary.BigEndian.AppendUint64(b, t.Sequence)
-	return base64.RawURLEncoding.EncodeToString(append(b, t.Host.Name...))
+	b = append(b, byte(len(name)))
+	b = append(b, name...)
+	return base64.RawURLEncoding.EncodeToString(append(b, t.Datacentre...))
 }
 
-const ticketHead = 16
-
 // Parse reads a ticket; it fails with fault.Invalid.
 func Parse(s string) (wire.Ticket, error) {
-	b, err := base64.RawURLEncoding.DecodeString(s)
-	if err != nil || len(b) <= ticketHead {
+	b, err := base64.RawURLEncoding.Strict().DecodeString(s)
+	if err != nil || len(b) < ticketHead {
+		return wire.Ticket{}, fault.New(fault.Invalid, "%q is no ticket", s)
+	}
+	size := int(b[ticketHead-1])
+	if size == 0 || len(b) < ticketHead+size {
 		return wire.Ticket{}, fault.New(fault.Invalid, "%q is no ticket", s)
 	}
 	return wire.Ticket{
 		Host: wire.HostID{
-			Name:        string(b[ticketHead:]),
+			Name:        string(b[ticketHead : ticketHead+size]),
 			Incarnation: binary.BigEndian.Uint64(b),
 		},
-		Sequence: binary.BigEndian.Uint64(b[8:]),
+		Datacentre: string(b[ticketHead+size:]),
+		Sequence:   binary.BigEndian.Uint64(b[8:]),
 	}, nil
 }
