--- a/apiv1/callers.go
+++ b/apiv1/callers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"kingcupcross/shard"
 	"kingcupcross/units"
@@ -114,14 +115,26 @@
 	Tickets []string `json:"tickets"`
 }
 
+// MaxKey is the largest length of a caller's key in bytes.
+const MaxKey = 256
+
+// MaxAttempt is the largest number of attempts with one ticket or key.
+const MaxAttempt = 1000
+
 // Order asks for a request that may not be repeated.
 type Order struct {
 	Service string `json:"service"`
 	Shard   int    `json:"shard"`
 	Payload []byte `json:"payload"`
 	// Ticket is one that a host minted; Key is a name of the caller's own; with neither, each order counts as a new one.
-	Ticket   string         `json:"ticket"`
-	Key      string         `json:"key"`
+	Ticket string `json:"ticket,omitempty"`
+	Key    string `json:"key,omitempty"`
+	// Since is when the caller made the key; a repeat gives the same key with the same time.
+	Since time.Time `json:"since,omitzero"`
+	// Repeat says that the caller has sent the same ticket or key before.
+	Repeat bool `json:"repeat,omitempty"`
+	// Attempt counts up from one each time the caller tries the same ticket or key again after the answer "not run".
+	Attempt  int            `json:"attempt,omitempty"`
 	Deadline units.Duration `json:"deadline"`
 	Class    string         `json:"class"`
 }
@@ -129,22 +142,43 @@
 // UnmarshalJSON decodes an order and checks it.
 func (o *Order) UnmarshalJSON(b []byte) error {
 	type plain Order
-	p := plain{Class: DefaultClass}
+	p := plain{Class: DefaultClass, Attempt: 1}
 	if err := json.Unmarshal(b, &p); err != nil {
 		return err
 	}
 	*o = Order(p)
-	if o.Ticket != "" && o.Key != "" {
-		return fmt.Errorf("give ticket or key, not both")
+	if err := o.checkName(); err != nil {
+		return err
+	}
+	if o.Attempt < 1 || o.Attempt > MaxAttempt {
+		return fmt.Errorf("attempt %d: use 1 to %d", o.Attempt, MaxAttempt)
+	}
+	if o.Shard < 0 {
+		return fmt.Errorf("shard %d: use a number from 0", o.Shard)
 	}
 	return checkRequest(o.Service, o.Class, o.Deadline)
 }
 
+func (o *Order) checkName() error {
+	switch {
+	case o.Ticket != "" && o.Key != "":
+		return fmt.Errorf("give ticket or key, not both")
+	case len(o.Key) > MaxKey:
+		return fmt.Errorf("key of %d bytes: use at most %d", len(o.Key), MaxKey)
+	case (o.Key != "") != !o.Since.IsZero():
+		return fmt.Errorf("give since, the time when the key was made, with each key and only there")
+	default:
+		return nil
+	}
+}
+
 // Outcome answers an order that ran.
 type Outcome struct {
 	ID      string `json:"id"`
 	Target  string `json:"target"`
 	Payload []byte `json:"payload"`
+	// Ticket is the one that the order ran with; it is empty for an order with a key.
+	Ticket string `json:"ticket,omitempty"`
 }
 
 // Failure answers every request that the system gives up on.
@@ -156,4 +190,6 @@
 	// Retry is the time after which to come back; zero means that a repeat can't succeed.
 	Retry units.Duration `json:"retry"`
 	Text  string         `json:"text"`
+	// Ticket is the one with which the outcome of the order can be asked for; it is empty for queries and for orders with a key.
+	Ticket string `json:"ticket,omitempty"`
 }
--- a/board/board.go
+++ b/board/board.go
@@ -24,7 +24,10 @@
 const (
 	Starting Phase = iota
 	Ready
+	// Leaving turns the balancer and the peers away but still takes work.
 	Leaving
+	// Closed takes no new work.
+	Closed
 )
 
 // Board is the state that the parts of one host share.
--- a/cmds/callers.go
+++ b/cmds/callers.go
@@ -141,7 +141,10 @@
 	Shard    int            `arg:"" help:"The shard that the order is for."`
 	Payload  string         `arg:"" help:"The order's text."`
 	Ticket   string         `help:"A ticket from the tickets command."`
-	Key      string         `help:"A key of your own."`
+	Key      string         `help:"A key of your own; needs --since."`
+	Since    time.Time      `help:"When the key was made, such as 2026-12-03T06:00:00Z; the same at each repeat."`
+	Repeat   bool           `help:"Say that the ticket or key was sent before."`
+	Attempt  int            `default:"1" help:"Count of tries with the ticket or key; raise it after the answer \"not run\"."`
 	Deadline units.Duration `help:"Time for the outcome, such as 2s."`
 	Class    string         `default:"routine" enum:"recall,routine,bulk" help:"Class of the request: ${enum}."`
 }
@@ -155,6 +158,9 @@
 		Payload:  []byte(c.Payload),
 		Ticket:   c.Ticket,
 		Key:      c.Key,
+		Since:    c.Since,
+		Repeat:   c.Repeat,
+		Attempt:  c.Attempt,
 		Deadline: c.Deadline,
 		Class:    c.Class,
 	}, &o)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -69,41 +70,67 @@
 
 type handler func(ctx context.Context, id string, body []byte) (any, error)
 
-// admit refuses new requests where this host must not take them and answers in one form whatever the handler returns.
+// admit reads the request whole and answers in one form whatever the handler returns.
 func (e *Entry) admit(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.open.Add(1)
 		defer e.open.Add(-1)
+		if e.board.Phase() >= board.Leaving {
+			// Connections end with their next answer, so that none has to be closed under a caller.
+			w.Header().Set("Connection", "close")
+		}
 		id := fmt.Sprintf("%s/%d", e.board.Self.HostID, e.serial.Add(1))
 		answer, err := e.handle(w, r, h, id)
+		e.limit(http.NewResponseController(w).SetWriteDeadline, answerTimeout)
 		if err != nil {
-			e.fail(w, id, fault.Of(err))
+			e.fail(w, id, err)
 			return
 		}
+		e.scope.Counter("answered").Inc(1)
 		send(w, http.StatusOK, answer)
 	}
 }
 
-func (e *Entry) handle(w http.ResponseWriter, r *http.Request, h handler, id string) (any, error) {
-	if f := e.refuse(); f != nil {
-		return nil, f
+// limit sets a deadline of a connection, or none where d is zero; one that can't be set only costs the protection against slow callers.
+func (e *Entry) limit(set func(time.Time) error, d time.Duration) {
+	var end time.Time
+	if d > 0 {
+		end = e.clock.Now().Add(d)
 	}
+	if set(end) != nil {
+		e.scope.Counter("unlimited").Inc(1)
+	}
+}
+
+func (e *Entry) handle(w http.ResponseWriter, r *http.Request, h handler, id string) (any, error) {
+	control := http.NewResponseController(w)
+	e.limit(control.SetWriteDeadline, 0)
+	e.limit(control.SetReadDeadline, bodyTimeout)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	// A deadline that passed while the request runs would end it.
+	e.limit(control.SetReadDeadline, 0)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.TooLarge, "the body has more than %d bytes", maxBody)
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		e.scope.Counter("slowbodies").Inc(1)
+		return nil, fault.New(fault.TooLate, "the body didn't come within %s", bodyTimeout)
+	case err != nil:
 		return nil, fault.New(fault.Invalid, "the body could not be read: %v", err)
 	}
+	if sum := r.Header.Get(apiv1.SumHeader); sum != "" && sum != sumOf(body) {
+		return nil, fault.New(fault.Invalid, "the body doesn't match its checksum %q", sum)
+	}
 	return h(r.Context(), id, body)
 }
 
+// refuse says why this host takes no new request, or nil.
 func (e *Entry) refuse() *fault.Error {
 	switch {
 	case e.board.Phase() == board.Starting:
 		return fault.New(fault.Starting, "no settings are in force at %s", e.board.Self.Name)
-	case e.board.Phase() == board.Leaving:
+	case e.board.Phase() == board.Closed:
 		return fault.New(fault.Leaving, "%s is leaving", e.board.Self.Name)
 	case e.board.SelfOut():
 		return fault.New(fault.Out, "data centre %s is out of service", e.board.Self.Datacentre)
@@ -120,8 +147,13 @@
 	return nil
 }
 
+// ready tells the balancer to send no new work before this host refuses any.
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if f := e.refuse(); f != nil {
+	f := e.refuse()
+	if f == nil && e.board.Phase() == board.Leaving {
+		f = fault.New(fault.Leaving, "%s is leaving", e.board.Self.Name)
+	}
+	if f != nil {
 		e.fail(w, "", f)
 		return
 	}
@@ -130,19 +162,30 @@
 }
 
 // fail sends the final answer for a request that is given up on, with when to come back.
-func (e *Entry) fail(w http.ResponseWriter, id string, f *fault.Error) {
+func (e *Entry) fail(w http.ResponseWriter, id string, err error) {
+	f := fault.Of(err)
 	row := fault.Answer(f.Kind)
 	e.scope.Tagged(map[string]string{"kind": row.Name}).Counter("refused").Inc(1)
 	if wait := f.Wait(); wait > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
-	send(w, row.Status, apiv1.Failure{
+	failure := apiv1.Failure{
 		ID:     id,
 		Kind:   row.Name,
 		NotRun: f.NotRun(),
 		Retry:  units.Duration(f.Wait()),
 		Text:   f.Text,
-	})
+	}
+	var o *orderError
+	if errors.As(err, &o) {
+		failure.Ticket = o.ticket
+	}
+	send(w, row.Status, failure)
+}
+
+// sumOf returns the checksum of a body as its header carries it.
+func sumOf(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
 }
 
 // send writes the body with its length and checksum, so that an answer cut short never passes as whole.
@@ -154,7 +197,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.Header().Set(apiv1.SumHeader, strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set(apiv1.SumHeader, sumOf(body))
 	w.WriteHeader(status)
 	w.Write(body)
 }
@@ -163,6 +206,10 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
+	// bodyTimeout bounds the time in which a request's body has to come, answerTimeout that in which its answer has to be taken.
+	bodyTimeout   = 20 * time.Second
+	answerTimeout = 20 * time.Second
+	maxHeader     = 64 << 10
 )
 
 // Server returns the HTTP server for callers, with HTTP/1.1 and HTTP/2 without encryption.
@@ -175,5 +222,6 @@
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
 	}
 }
--- a/entry/order.go
+++ b/entry/order.go
@@ -3,59 +3,129 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"kingcupcross/apiv1"
 	"kingcupcross/fault"
 	"kingcupcross/order"
+	"kingcupcross/tree"
 	"kingcupcross/wire"
 )
 
 func (e *Entry) tickets(_ context.Context, _ string, body []byte) (any, error) {
+	if f := e.refuse(); f != nil {
+		return nil, f
+	}
 	var t apiv1.Tickets
 	if err := json.Unmarshal(body, &t); err != nil {
 		return nil, fault.New(fault.Invalid, "%v", err)
 	}
-	minted := apiv1.Minted{}
+	minted := apiv1.Minted{Tickets: make([]string, 0, t.Count)}
 	for _, ticket := range e.book.Mint(t.Count) {
 		minted.Tickets = append(minted.Tickets, order.Format(ticket))
 	}
 	return minted, nil
 }
 
+// orderError is the refusal of an order with the ticket by which its outcome can be asked for.
+type orderError struct {
+	fault  *fault.Error
+	ticket string
+}
+
+// Error returns the refusal's text.
+func (e *orderError) Error() string {
+	return e.fault.Error()
+}
+
+// Unwrap returns the refusal.
+func (e *orderError) Unwrap() error {
+	return e.fault
+}
+
 func (e *Entry) order(ctx context.Context, id string, body []byte) (any, error) {
 	var o apiv1.Order
 	if err := json.Unmarshal(body, &o); err != nil {
 		return nil, fault.New(fault.Invalid, "%v", err)
 	}
-	if f := e.checkSize(o.Service, o.Payload); f != nil {
-		return nil, f
-	}
+	values := e.board.Tree.Load().For(e.board.Self.Region, o.Service)
 	ticket, err := e.ticketOf(o)
 	if err != nil {
 		return nil, err
 	}
-	values := e.board.Tree.Load().For(e.board.Self.Region, o.Service)
-	left := values.Deadline.D()
-	if o.Deadline > 0 {
-		left = min(o.Deadline.D(), values.Longest.D())
-	}
-	reply := e.book.Run(ctx, wire.Order{
+	reply := e.run(ctx, o, values, wire.Order{
 		Ticket:  ticket,
 		Service: o.Service,
 		Shard:   o.Shard,
 		Class:   wire.Class(apiv1.Classes[o.Class]),
-		Left:    left,
+		Left:    leftOf(o, values),
+		Attempt: o.Attempt,
 		Payload: o.Payload,
 	})
+	shown := ""
+	if o.Key == "" {
+		shown = order.Format(ticket)
+	}
 	if reply.Fault != nil {
-		return nil, reply.Fault
+		return nil, &orderError{fault: reply.Fault, ticket: shown}
+	}
+	return apiv1.Outcome{
+		ID:      id,
+		Target:  reply.Target,
+		Payload: reply.Payload,
+		Ticket:  shown,
+	}, nil
+}
+
+// run leaves it to the book whether a refusal may say that nothing ran, since the order may be a repeat.
+func (e *Entry) run(ctx context.Context, o apiv1.Order, values *tree.Values, w wire.Order) wire.OrderReply {
+	f := e.refuse()
+	if f == nil {
+		f = e.checkOrder(o, values)
+	}
+	switch {
+	case f != nil && o.Key != "":
+		return e.book.RefuseKeyed(keyOf(o), f)
+	case f != nil:
+		return e.book.Refuse(w, f)
+	case o.Key != "":
+		return e.book.RunKeyed(ctx, keyOf(o), w)
+	default:
+		return e.book.Run(ctx, w)
+	}
+}
+
+func (e *Entry) checkOrder(o apiv1.Order, values *tree.Values) *fault.Error {
+	if o.Ticket == "" && o.Key == "" && !values.Keyless {
+		return fault.New(fault.Forbidden, "%s accepts orders with a ticket or a key only", o.Service)
+	}
+	return e.checkSize(o.Service, o.Payload)
+}
+
+func keyOf(o apiv1.Order) order.Key {
+	return order.Key{
+		Service:  o.Service,
+		Name:     o.Key,
+		Since:    o.Since,
+		Repeated: o.Repeat || o.Attempt > 1,
+	}
+}
+
+func leftOf(o apiv1.Order, values *tree.Values) time.Duration {
+	if o.Deadline > 0 {
+		return min(o.Deadline.D(), values.Longest.D())
 	}
-	return apiv1.Outcome{ID: id, Target: reply.Target, Payload: reply.Payload}, nil
+	return values.Deadline.D()
 }
 
+// ticketOf returns the caller's ticket or a new one; an order with a key gets its ticket when the key is claimed.
 func (e *Entry) ticketOf(o apiv1.Order) (wire.Ticket, error) {
-	if o.Ticket != "" {
+	switch {
+	case o.Ticket != "":
 		return order.Parse(o.Ticket)
+	case o.Key != "":
+		return wire.Ticket{}, nil
+	default:
+		return e.book.Mint(1)[0], nil
 	}
-	return e.book.Mint(1)[0], nil
 }
--- a/entry/query.go
+++ b/entry/query.go
@@ -12,6 +12,9 @@
 )
 
 func (e *Entry) query(ctx context.Context, id string, body []byte) (any, error) {
+	if f := e.refuse(); f != nil {
+		return nil, f
+	}
 	var q apiv1.Query
 	if err := json.Unmarshal(body, &q); err != nil {
 		return nil, fault.New(fault.Invalid, "%v", err)
--- a/host/host.go
+++ b/host/host.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os/signal"
-	"syscall"
-	"time"
+	"sync"
 
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
@@ -30,9 +28,6 @@
 	"kingcupcross/wire"
 )
 
-// leaveNotice is the time between the first sign of leaving and the end of new work, in which the balancer and the peers learn of it.
-const leaveNotice = time.Second
-
 // Host is one host with its parts.
 type Host struct {
 	conf   *conf.Host
@@ -47,6 +42,14 @@
 	spread *spread.Spread
 	entry  *entry.Entry
 	admin  *admin.Admin
+	// shutdowns end the servers without cutting off what they have in flight.
+	shutdowns []func(context.Context) error
+	// handOver gives the targets that this host keeps to their next keepers.
+	handOver func(context.Context) error
+	stop     chan struct{}
+	// ended is closed once the host's actors are to end.
+	ended chan struct{}
+	once  sync.Once
 }
 
 // New builds a host from its settings.
@@ -71,7 +74,7 @@
 	dialer := wire.NewDialer()
 	k := keeper.New(clock, b, l.For("keeper"), m.Scope.SubScope("keeper"))
 	links := keeper.NewLinks(c.Name, k, dialer)
-	book := order.New(clock, b, links, dialer, l.For("order"), m.Scope.SubScope("order"))
+	book := order.New(clock, b, links, dialer, platform, l.For("order"), m.Scope.SubScope("order"))
 	engine := query.New(clock, b, links, l.For("query"), m.Scope.SubScope("query"))
 	return &Host{
 		conf:   c,
@@ -86,6 +89,10 @@
 		spread: spread.New(clock, b, platform, l.For("spread")),
 		entry:  entry.New(clock, b, engine, book, l.For("entry"), m.Scope.SubScope("entry")),
 		admin:  admin.New(b, k, m),
+		// The keeper's seam for a graceful stop takes this place.
+		handOver: func(context.Context) error { return nil },
+		stop:     make(chan struct{}),
+		ended:    make(chan struct{}),
 	}, nil
 }
 
@@ -130,10 +137,10 @@
 	if err := h.addPeerServer(group); err != nil {
 		return err
 	}
-	if err := addHTTP(group, h.conf.Admin, h.admin.Server()); err != nil {
+	if err := h.addHTTP(group, h.conf.Admin, h.admin.Server()); err != nil {
 		return err
 	}
-	return addHTTP(group, h.conf.Callers, h.entry.Server())
+	return h.addHTTP(group, h.conf.Callers, h.entry.Server())
 }
 
 func (h *Host) addPeerServer(group *run.Group) error {
@@ -155,7 +162,8 @@
 			return err
 		}
 	}
-	group.Add(s.Serve, func(error) { s.Close() })
+	h.shutdowns = append(h.shutdowns, s.Shutdown)
+	group.Add(h.untilStopped(s.Serve), func(error) { s.Close() })
 	return nil
 }
 
@@ -164,7 +172,7 @@
 	return l, eris.Wrapf(err, "listen at %s", a)
 }
 
-func addHTTP(group *run.Group, a netip.AddrPort, s *http.Server) error {
+func (h *Host) addHTTP(group *run.Group, a netip.AddrPort, s *http.Server) error {
 	l, err := listen(a)
 	if err != nil {
 		return err
@@ -175,32 +183,7 @@
 		}
 		return nil
 	}
-	group.Add(serve, func(error) { s.Close() })
+	h.shutdowns = append(h.shutdowns, s.Shutdown)
+	group.Add(h.untilStopped(serve), func(error) { s.Close() })
 	return nil
 }
-
-// addStop adds the actor that turns a signal into a graceful stop.
-func (h *Host) addStop(group *run.Group) {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	group.Add(func() error {
-		<-ctx.Done()
-		return h.leave()
-	}, func(error) { cancel() })
-}
-
-// leave turns the balancer and the peers away first, then waits for the requests in flight.
-func (h *Host) leave() error {
-	h.log.Info("host leaves")
-	h.board.Advance(board.Leaving)
-	h.peers.Leave()
-	deadline := h.clock.Now().Add(h.conf.Grace.D())
-	tick := h.clock.Every(leavePoll)
-	defer tick.Stop()
-	<-h.clock.After(leaveNotice)
-	for h.entry.Open() > 0 && h.clock.Now().Before(deadline) {
-		<-tick.C
-	}
-	return nil
-}
-
-const leavePoll = 20 * time.Millisecond
