--- a/order/book.go
+++ b/order/book.go
@@ -49,7 +49,7 @@
 	seals func() bool
 	// floors reports whether tickets at or below the floor are refused.
 	floors func() bool
-	// certain reports whether a lost call counts as one that may have run.
+	// certain reports whether an order is tried at another replica only while it is certain that nothing ran.
 	certain func() bool
 	// claims reports whether a key is claimed in the store before its order runs.
 	claims func() bool
--- a/order/own.go
+++ b/order/own.go
@@ -130,7 +130,7 @@
 			return wire.OrderReply{Fault: fault.New(fault.TooLate, "the order's time passed before it was sent")}
 		}
 		reply = b.sendTo(o, k, t, left)
-		if reply.Fault == nil || !reply.Fault.NotRun() {
+		if reply.Fault == nil || (!reply.Fault.NotRun() && b.guards.certain()) {
 			return reply
 		}
 	}
@@ -154,15 +154,15 @@
 		Payload: o.Payload,
 	})
 	if err != nil {
-		return wire.OrderReply{Target: t.Name, Fault: b.lost(err)}
+		return wire.OrderReply{Target: t.Name, Fault: lost(err)}
 	}
 	return reply
 }
 
 // lost is the fault of an order whose call gave no answer: not run only if the call never left.
-func (b *Book) lost(err error) *fault.Error {
+func lost(err error) *fault.Error {
 	var call *wire.CallError
-	if errors.As(err, &call) && (!call.Sent || !b.guards.certain()) {
+	if errors.As(err, &call) && !call.Sent {
 		return fault.New(fault.NoReplica, "%v", err)
 	}
 	return fault.New(fault.Unknown, "%v", err)
