--- a/meter/meter.go
+++ b/meter/meter.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -20,7 +22,10 @@
 
 // New returns the metrics of one host; Close ends their reporting.
 func New() *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several hosts run in one process.
+	registry := client.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "kingcupcross",
 		CachedReporter:  reporter,
