--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,7 +68,15 @@
 	return e.open.Load()
 }
 
-type handler func(ctx context.Context, id string, body []byte) (any, error)
+// request is what a handler gets of one request.
+type request struct {
+	id   string
+	body []byte
+	// refused says why this host takes no new request, as it stood when this one came.
+	refused *fault.Error
+}
+
+type handler func(ctx context.Context, r request) (any, error)
 
 // admit reads the request whole and answers in one form whatever the handler returns.
 func (e *Entry) admit(h handler) http.HandlerFunc {
@@ -80,7 +88,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		id := fmt.Sprintf("%s/%d", e.board.Self.HostID, e.serial.Add(1))
-		answer, err := e.handle(w, r, h, id)
+		answer, err := e.handle(w, r, h, request{id: id, refused: e.refuse()})
 		e.limit(http.NewResponseController(w).SetWriteDeadline, answerTimeout)
 		if err != nil {
 			e.fail(w, id, err)
@@ -102,7 +110,7 @@
 	}
 }
 
-func (e *Entry) handle(w http.ResponseWriter, r *http.Request, h handler, id string) (any, error) {
+func (e *Entry) handle(w http.ResponseWriter, r *http.Request, h handler, q request) (any, error) {
 	control := http.NewResponseController(w)
 	e.limit(control.SetWriteDeadline, 0)
 	e.limit(control.SetReadDeadline, bodyTimeout)
@@ -122,7 +130,8 @@
 	if sum := r.Header.Get(apiv1.SumHeader); sum != "" && sum != sumOf(body) {
 		return nil, fault.New(fault.Invalid, "the body doesn't match its checksum %q", sum)
 	}
-	return h(r.Context(), id, body)
+	q.body = body
+	return h(r.Context(), q)
 }
 
 // refuse says why this host takes no new request, or nil.
--- a/entry/order.go
+++ b/entry/order.go
@@ -12,12 +12,12 @@
 	"kingcupcross/wire"
 )
 
-func (e *Entry) tickets(_ context.Context, _ string, body []byte) (any, error) {
-	if f := e.refuse(); f != nil {
-		return nil, f
+func (e *Entry) tickets(_ context.Context, r request) (any, error) {
+	if r.refused != nil {
+		return nil, r.refused
 	}
 	var t apiv1.Tickets
-	if err := json.Unmarshal(body, &t); err != nil {
+	if err := json.Unmarshal(r.body, &t); err != nil {
 		return nil, fault.New(fault.Invalid, "%v", err)
 	}
 	minted := apiv1.Minted{Tickets: make([]string, 0, t.Count)}
@@ -43,9 +43,9 @@
 	return e.fault
 }
 
-func (e *Entry) order(ctx context.Context, id string, body []byte) (any, error) {
+func (e *Entry) order(ctx context.Context, r request) (any, error) {
 	var o apiv1.Order
-	if err := json.Unmarshal(body, &o); err != nil {
+	if err := json.Unmarshal(r.body, &o); err != nil {
 		return nil, fault.New(fault.Invalid, "%v", err)
 	}
 	values := e.board.Tree.Load().For(e.board.Self.Region, o.Service)
@@ -53,7 +53,11 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := e.run(ctx, o, values, wire.Order{
+	f := r.refused
+	if f == nil {
+		f = e.checkOrder(o, values)
+	}
+	reply := e.run(ctx, o, f, wire.Order{
 		Ticket:  ticket,
 		Service: o.Service,
 		Shard:   o.Shard,
@@ -70,7 +74,7 @@
 		return nil, &orderError{fault: reply.Fault, ticket: shown}
 	}
 	return apiv1.Outcome{
-		ID:      id,
+		ID:      r.id,
 		Target:  reply.Target,
 		Payload: reply.Payload,
 		Ticket:  shown,
@@ -78,11 +82,7 @@
 }
 
 // run leaves it to the book whether a refusal may say that nothing ran, since the order may be a repeat.
-func (e *Entry) run(ctx context.Context, o apiv1.Order, values *tree.Values, w wire.Order) wire.OrderReply {
-	f := e.refuse()
-	if f == nil {
-		f = e.checkOrder(o, values)
-	}
+func (e *Entry) run(ctx context.Context, o apiv1.Order, f *fault.Error, w wire.Order) wire.OrderReply {
 	switch {
 	case f != nil && o.Key != "":
 		return e.book.RefuseKeyed(keyOf(o), f)
--- a/entry/query.go
+++ b/entry/query.go
@@ -11,12 +11,12 @@
 	"kingcupcross/wire"
 )
 
-func (e *Entry) query(ctx context.Context, id string, body []byte) (any, error) {
-	if f := e.refuse(); f != nil {
-		return nil, f
+func (e *Entry) query(ctx context.Context, r request) (any, error) {
+	if r.refused != nil {
+		return nil, r.refused
 	}
 	var q apiv1.Query
-	if err := json.Unmarshal(body, &q); err != nil {
+	if err := json.Unmarshal(r.body, &q); err != nil {
 		return nil, fault.New(fault.Invalid, "%v", err)
 	}
 	if f := e.checkSize(q.Service, q.Payload); f != nil {
@@ -27,7 +27,7 @@
 		wanted = *q.Coverage
 	}
 	a, err := e.engine.Run(ctx, query.Request{
-		ID:       id,
+		ID:       r.id,
 		Service:  q.Service,
 		Payload:  q.Payload,
 		Class:    wire.Class(apiv1.Classes[q.Class]),
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return toAnswer(id, q.Service, a), nil
+	return toAnswer(r.id, q.Service, a), nil
 }
 
 func toAnswer(id, service string, a *query.Answer) apiv1.Answer {
--- a/host/host.go
+++ b/host/host.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
@@ -46,6 +47,13 @@
 	shutdowns []func(context.Context) error
 	// handOver gives the targets that this host keeps to their next keepers.
 	handOver func(context.Context) error
+	// notice and linger stand for leaveNotice and leaveLinger.
+	notice time.Duration
+	linger time.Duration
+	// drain waits for the work in flight.
+	drain func(context.Context)
+	// shutdown ends one server once what it has in flight is finished.
+	shutdown func(ctx context.Context, server func(context.Context) error) error
 	stop     chan struct{}
 	// ended is closed once the host's actors are to end.
 	ended chan struct{}
@@ -76,7 +84,7 @@
 	links := keeper.NewLinks(c.Name, k, dialer)
 	book := order.New(clock, b, links, dialer, platform, l.For("order"), m.Scope.SubScope("order"))
 	engine := query.New(clock, b, links, l.For("query"), m.Scope.SubScope("query"))
-	return &Host{
+	h := &Host{
 		conf:   c,
 		clock:  clock,
 		log:    l.For("host"),
@@ -91,9 +99,13 @@
 		admin:  admin.New(b, k, m),
 		// The keeper's seam for a graceful stop takes this place.
 		handOver: func(context.Context) error { return nil },
+		notice:   leaveNotice,
+		linger:   leaveLinger,
 		stop:     make(chan struct{}),
 		ended:    make(chan struct{}),
-	}, nil
+	}
+	h.drain, h.shutdown = h.finish, h.end
+	return h, nil
 }
 
 // Run serves until a signal or a failure ends it; after a signal it returns nil once all requests in flight are finished.
--- a/host/leave.go
+++ b/host/leave.go
@@ -80,9 +80,8 @@
 	h.peers.Leave()
 	handed := make(chan error, 1)
 	go func() { handed <- h.handOver(ctx) }()
-	h.pause(ctx, leaveNotice)
+	h.pause(ctx, h.notice)
 	h.board.Advance(board.Closed)
-	h.book.Close()
 	h.drain(ctx)
 	select {
 	case err := <-handed:
@@ -93,8 +92,8 @@
 	return nil
 }
 
-// drain waits for the callers' requests and for the orders under way, also those of callers who have gone.
-func (h *Host) drain(ctx context.Context) {
+// finish waits for the callers' requests and for the orders under way, also those of callers who have gone.
+func (h *Host) finish(ctx context.Context) {
 	tick := h.clock.Every(leavePoll)
 	defer tick.Stop()
 	for h.entry.Open() > 0 && ctx.Err() == nil {
@@ -103,11 +102,12 @@
 		case <-ctx.Done():
 		}
 	}
+	h.book.Close()
 	select {
 	case <-h.book.Idle():
 	case <-ctx.Done():
 	}
-	h.pause(ctx, leaveLinger)
+	h.pause(ctx, h.linger)
 }
 
 // settle hands the order record over and ends the servers; it has a time of its own, so that the record isn't lost where the grace was used up.
@@ -116,21 +116,21 @@
 	defer cancel()
 	h.book.HandOver(ctx)
 	// Callers' connections end first, those of other hosts last.
-	for _, shutdown := range slices.Backward(h.shutdowns) {
-		if err := h.end(grace, shutdown); err != nil {
+	for _, server := range slices.Backward(h.shutdowns) {
+		if err := h.shutdown(grace, server); err != nil {
 			h.log.Warn("requests were cut off", zap.Error(err))
 		}
 	}
 }
 
 // end gives a server the rest of the grace, and a little time where that is used up.
-func (h *Host) end(grace context.Context, shutdown func(context.Context) error) error {
+func (h *Host) end(grace context.Context, server func(context.Context) error) error {
 	if grace.Err() == nil {
-		return shutdown(grace)
+		return server(grace)
 	}
 	ctx, cancel := h.clock.WithTimeout(context.Background(), drainWait)
 	defer cancel()
-	return shutdown(ctx)
+	return server(ctx)
 }
 
 func (h *Host) pause(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/host/leave_test.go
@@ -0,0 +1,349 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupcross/apiv1"
+	"kingcupcross/board"
+	"kingcupcross/conf"
+	"kingcupcross/emul"
+	"kingcupcross/shard"
+	"kingcupcross/timer"
+	"kingcupcross/tree"
+	"kingcupcross/units"
+	"kingcupcross/wire"
+)
+
+// pair is two hosts of one data centre and a target whose work ends only when release is called.
+type pair struct {
+	t      *testing.T
+	hosts  [2]*Host
+	ended  [2]chan error
+	target *emul.Target
+	work   *timer.Manual
+}
+
+const (
+	service = "silo"
+	shards  = 4
+	slots   = 2
+)
+
+func withPair(t *testing.T, change func(*Host), f func(*pair)) {
+	t.Helper()
+	clock, work := timer.NewManual(time.Unix(1000, 0))
+	p := &pair{t: t, work: work}
+	p.target = emul.NewTarget(clock, emul.TargetSettings{
+		Name:     "t",
+		Slots:    slots,
+		Cold:     slots,
+		Median:   units.Duration(time.Second),
+		Holdings: []emul.Holding{{Service: service, Map: 1, Shards: []int{0, 1, 2, 3}, Indexes: []uint64{1}}},
+	})
+	server := httptest.NewServer(p.target.Handler())
+	defer server.Close()
+	m := &shard.Map{
+		Service: service,
+		Version: 1,
+		Index:   1,
+		Targets: []shard.Target{{
+			Name:       "t",
+			Address:    netip.MustParseAddrPort(server.Listener.Addr().String()),
+			Datacentre: "a",
+			Slots:      slots,
+			Conns:      slots,
+		}},
+		Shards: [][]int{{0}, {0}, {0}, {0}},
+	}
+	settings, err := tree.Empty().Apply(tree.Change{
+		N:      1,
+		ID:     "first",
+		Author: "test",
+		Reason: "test",
+		Ops:    []tree.Op{{Path: "org", Key: "deadline", After: json.RawMessage(`"30s"`)}},
+	})
+	require.NoError(t, err)
+	ports := freePorts(t, 2*3)
+	for i := range p.hosts {
+		p.start(i, ports, m, settings, change)
+	}
+	p.until(func() bool { return p.sees(0, wire.Alive) && p.sees(1, wire.Alive) })
+	f(p)
+	p.release()
+	for i := range p.hosts {
+		p.hosts[i].Stop()
+		require.NoError(t, <-p.ended[i])
+	}
+}
+
+func (p *pair) start(i int, ports []netip.AddrPort, m *shard.Map, settings *tree.Tree, change func(*Host)) {
+	h, err := New(&conf.Host{
+		Name:       fmt.Sprintf("h%d", i),
+		Region:     "r",
+		Datacentre: "a",
+		Callers:    ports[3*i],
+		Peers:      ports[3*i+1],
+		Admin:      ports[3*i+2],
+		Platform:   netip.MustParseAddrPort("127.0.0.1:1"),
+		Seeds:      []netip.AddrPort{ports[1], ports[4]},
+		Grace:      units.Duration(time.Minute),
+		Log:        map[string]string{"all": "error"},
+	})
+	require.NoError(p.t, err)
+	h.notice, h.linger = 50*time.Millisecond, 10*time.Millisecond
+	change(h)
+	h.board.Tree.Update(func(*tree.Tree) *tree.Tree { return settings })
+	h.board.PutMap(m)
+	h.board.Advance(board.Ready)
+	p.hosts[i], p.ended[i] = h, make(chan error, 1)
+	go func() { p.ended[i] <- h.Run() }()
+}
+
+func freePorts(t *testing.T, n int) []netip.AddrPort {
+	var all []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		all = append(all, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return all
+}
+
+// sees reports whether host i knows the other one in a state.
+func (p *pair) sees(i int, s wire.HostState) bool {
+	return p.hosts[i].board.View.Load().Members[p.hosts[1-i].conf.Name].State == s
+}
+
+func (p *pair) until(f func() bool) {
+	p.t.Helper()
+	require.Eventually(p.t, f, 20*time.Second, time.Millisecond)
+}
+
+// release lets the target's work end, also that which begins later.
+func (p *pair) release() {
+	go func() {
+		for range 2000 {
+			p.work.Advance(time.Second)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+}
+
+// reply is what a caller got; err is set where the answer was cut off.
+type reply struct {
+	status int
+	body   []byte
+	err    error
+}
+
+func (p *pair) post(host int, path string, in any) reply {
+	body, err := json.Marshal(in)
+	require.NoError(p.t, err)
+	return exchange(p.hosts[host].conf.Callers, path, bytes.NewReader(body))
+}
+
+func exchange(a netip.AddrPort, path string, body io.Reader) reply {
+	resp, err := http.Post("http://"+a.String()+path, "application/json", body)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: b, err: err}
+}
+
+// keeper returns the host that keeps the target, the other one being a caller's way to it.
+func (p *pair) keeper() int {
+	if len(p.hosts[0].keeper.Gates()) > 0 {
+		return 0
+	}
+	return 1
+}
+
+// busy waits until the target works on n requests.
+func (p *pair) busy(n int) {
+	p.until(func() bool { return p.work.Waiting() >= n })
+}
+
+// leaveCase has work in flight when host 0, or the keeper, gets the signal.
+type leaveCase struct {
+	name string
+	// begin starts the work and returns when it is in flight, with the host that is to leave and a function that lets it end.
+	begin func(p *pair, replies chan<- reply) (leaving int, finish func())
+	count int
+}
+
+func queries(n int, at func(*pair) int) func(*pair, chan<- reply) (int, func()) {
+	return func(p *pair, replies chan<- reply) (int, func()) {
+		// A first query of its own shows who keeps the target.
+		first := make(chan reply, 1)
+		go func() { first <- p.post(0, apiv1.PathQuery, apiv1.Query{Service: service, Class: "routine"}) }()
+		for len(first) == 0 {
+			p.work.Advance(time.Second)
+			time.Sleep(time.Millisecond)
+		}
+		require.Equal(p.t, http.StatusOK, (<-first).status)
+		for range n {
+			go func() { replies <- p.post(at(p), apiv1.PathQuery, apiv1.Query{Service: service, Class: "routine"}) }()
+		}
+		p.busy(min(n, slots))
+		return p.keeper(), p.release
+	}
+}
+
+func orderInFlight(p *pair, replies chan<- reply) (int, func()) {
+	var m apiv1.Minted
+	require.NoError(p.t, json.Unmarshal(p.post(0, apiv1.PathTickets, apiv1.Tickets{Count: 1}).body, &m))
+	o := apiv1.Order{
+		Service: service,
+		Payload: []byte("one load"),
+		Ticket:  m.Tickets[0],
+		Attempt: 1,
+		Class:   "routine",
+	}
+	first := make(chan reply, 1)
+	go func() { first <- p.post(0, apiv1.PathOrder, o) }()
+	p.busy(1)
+	return 0, func() {
+		p.release()
+		r := <-first
+		replies <- r
+		require.NoError(p.t, <-p.ended[0])
+		p.ended[0] <- nil
+		// The successor tells the same outcome.
+		again := p.post(1, apiv1.PathOrder, o)
+		require.Equal(p.t, r.status, again.status, string(again.body))
+		for id, n := range p.target.Witness().Runs {
+			require.Equal(p.t, 1, n, id)
+		}
+	}
+}
+
+func slowUpload(p *pair, replies chan<- reply) (int, func()) {
+	p.release()
+	body, err := json.Marshal(apiv1.Query{Service: service, Class: "routine"})
+	require.NoError(p.t, err)
+	r, w := io.Pipe()
+	go func() { replies <- exchange(p.hosts[0].conf.Callers, apiv1.PathQuery, r) }()
+	_, err = w.Write(body[:5])
+	require.NoError(p.t, err)
+	p.until(func() bool { return p.hosts[0].entry.Open() == 1 })
+	return 0, func() {
+		w.Write(body[5:])
+		w.Close()
+	}
+}
+
+func TestGracefulStopCutsOffNothing(t *testing.T) {
+	cases := []leaveCase{
+		{name: "long query at the leaving host", begin: queries(1, (*pair).keeper), count: 1},
+		{name: "long query of another host at the leaving keeper", begin: queries(1, func(p *pair) int { return 1 - p.keeper() }), count: 1},
+		{name: "keeper with a full queue", begin: queries(12, func(p *pair) int { return 1 - p.keeper() }), count: 12},
+		{name: "order", begin: orderInFlight, count: 1},
+		{name: "slow upload", begin: slowUpload, count: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withPair(t, func(*Host) {}, func(p *pair) {
+				for _, r := range p.leaveDuring(c) {
+					require.NoError(t, r.err)
+					require.Equal(t, http.StatusOK, r.status, string(r.body))
+				}
+			})
+		})
+	}
+}
+
+// leaveDuring signals the leaving host twice, lets the work end once new work is refused there, and returns the callers' replies.
+func (p *pair) leaveDuring(c leaveCase) []reply {
+	replies := make(chan reply, c.count)
+	leaving, finish := c.begin(p, replies)
+	h := p.hosts[leaving]
+	h.Stop()
+	h.Stop()
+	p.until(func() bool { return h.board.Phase() == board.Closed })
+	finish()
+	var all []reply
+	for range c.count {
+		all = append(all, <-replies)
+	}
+	return all
+}
+
+// TestStopWithoutDrainCutsOff shows that the waiting is what keeps the requests whole.
+func TestStopWithoutDrainCutsOff(t *testing.T) {
+	without := func(h *Host) {
+		h.drain = func(context.Context) {}
+		h.shutdown = func(context.Context, func(context.Context) error) error { return nil }
+	}
+	withPair(t, without, func(p *pair) {
+		replies := make(chan reply, 1)
+		leaving, _ := queries(1, (*pair).keeper)(p, replies)
+		p.hosts[leaving].Stop()
+		r := <-replies
+		require.Error(t, r.err, string(r.body))
+	})
+}
+
+func TestLeavingTurnsTheBalancerAwayBeforeItRefuses(t *testing.T) {
+	withPair(t, func(*Host) {}, func(p *pair) {
+		p.release()
+		h := p.hosts[0]
+		h.board.Advance(board.Leaving)
+		resp, err := http.Get("http://" + h.conf.Callers.String() + apiv1.PathReady)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Equal(t, http.StatusOK, p.post(0, apiv1.PathQuery, apiv1.Query{Service: service, Class: "routine"}).status)
+		h.board.Advance(board.Closed)
+		r := p.post(0, apiv1.PathQuery, apiv1.Query{Service: service, Class: "routine"})
+		var f apiv1.Failure
+		require.NoError(t, json.Unmarshal(r.body, &f))
+		require.Equal(t, "leaving", f.Kind)
+		require.True(t, f.NotRun)
+		require.Positive(t, f.Retry)
+	})
+}
+
+func TestSecondSignalDoesNotHasten(t *testing.T) {
+	withPair(t, func(*Host) {}, func(p *pair) {
+		replies := make(chan reply, 1)
+		leaving, finish := queries(1, (*pair).keeper)(p, replies)
+		h := p.hosts[leaving]
+		for range 2 {
+			require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+			p.until(func() bool { return h.board.Phase() >= board.Leaving })
+		}
+		p.until(func() bool { return h.board.Phase() == board.Closed })
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGINT))
+		finish()
+		r := <-replies
+		require.NoError(t, r.err)
+		require.Equal(t, http.StatusOK, r.status)
+	})
+}
+
+func TestServerFailureEndsTheHost(t *testing.T) {
+	withPair(t, func(*Host) {}, func(p *pair) {
+		h, err := New(p.hosts[0].conf)
+		require.NoError(t, err)
+		require.Error(t, h.Run(), "the addresses are taken")
+		require.False(t, errors.Is(err, http.ErrServerClosed))
+	})
+}
