--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,8 @@
 	scope  tally.Scope
 	serial atomic.Uint64
 	open   atomic.Int64
+	// body bounds the time in which a request's body has to come.
+	body time.Duration
 }
 
 // New returns the callers' front end of a host.
@@ -50,6 +52,7 @@
 		book:   book,
 		log:    log,
 		scope:  scope,
+		body:   bodyTimeout,
 	}
 }
 
@@ -113,7 +116,7 @@
 func (e *Entry) handle(w http.ResponseWriter, r *http.Request, h handler, q request) (any, error) {
 	control := http.NewResponseController(w)
 	e.limit(control.SetWriteDeadline, 0)
-	e.limit(control.SetReadDeadline, bodyTimeout)
+	e.limit(control.SetReadDeadline, e.body)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	// A deadline that passed while the request runs would end it.
 	e.limit(control.SetReadDeadline, 0)
@@ -123,7 +126,7 @@
 		return nil, fault.New(fault.TooLarge, "the body has more than %d bytes", maxBody)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		e.scope.Counter("slowbodies").Inc(1)
-		return nil, fault.New(fault.TooLate, "the body didn't come within %s", bodyTimeout)
+		return nil, fault.New(fault.TooLate, "the body didn't come within %s", e.body)
 	case err != nil:
 		return nil, fault.New(fault.Invalid, "the body could not be read: %v", err)
 	}
--- a/order/book.go
+++ b/order/book.go
@@ -144,6 +144,9 @@
 		o.Ticket = ticket
 	}
 	o.Left -= b.clock.Since(start)
+	if o.Left <= 0 {
+		return b.Refuse(o, fault.New(fault.TooLate, "the order's time passed while its key was claimed"))
+	}
 	return b.Run(ctx, o)
 }
 
--- a/order/once_test.go
+++ b/order/once_test.go
@@ -312,3 +312,40 @@
 		require.Equal(t, uint64(2), fl.store.Calls()["put"])
 	})
 }
+
+func TestSweepDeletesOnlyClaimsThatNoHostAccepts(t *testing.T) {
+	withFleet(t, withAll, func(fl *fleet) {
+		n := fl.nodes["a1"]
+		now := time.Unix(1e9, 0)
+		ages := []time.Duration{claimLife + time.Hour, claimLife, claimLife - time.Hour, 0}
+		for _, age := range ages {
+			k := Key{Service: "silo", Name: "k", Since: now.Add(-age)}
+			fl.store.Put(k.claim("").Document, []byte("{}"))
+		}
+		next, err := n.claims.sweep(t.Context(), now)
+		require.NoError(t, err)
+		require.Equal(t, now.Add(time.Hour), next)
+		require.Equal(t, uint64(2), fl.store.Calls()["delete"])
+		require.Less(t, KeyLife, claimLife, "no host may accept a key whose claim is gone")
+	})
+}
+
+func TestKeyOutsideItsLifeDoesNotRun(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	require.Nil(t, Key{Since: now.Add(-KeyLife)}.check(now))
+	require.True(t, fault.Is(Key{Since: now.Add(-KeyLife - 1)}.check(now), fault.Unknown))
+	require.True(t, fault.Is(Key{Since: now.Add(2 * keyAhead)}.check(now), fault.Invalid))
+}
+
+func TestTicketsOutliveOthersByTimeOnly(t *testing.T) {
+	clock, manual := timer.NewManual(time.Unix(1000, 0))
+	l := newLedger(clock)
+	l.mint(3)
+	manual.Advance(ticketLife)
+	l.mint(2)
+	require.Zero(t, l.floor, "tickets live at least their whole life")
+	manual.Advance(2 * markStep)
+	l.expire()
+	require.Equal(t, uint64(3), l.floor)
+	require.Len(t, l.marks, 1)
+}
