--- a/host/host.go
+++ b/host/host.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
@@ -46,6 +47,13 @@
 	shutdowns []func(context.Context) error
 	// handOver gives the targets that this host keeps to their next keepers.
 	handOver func(context.Context) error
+	// notice and linger stand for leaveNotice and leaveLinger.
+	notice time.Duration
+	linger time.Duration
+	// drain waits for the work in flight.
+	drain func(context.Context)
+	// shutdown ends one server once what it has in flight is finished.
+	shutdown func(ctx context.Context, server func(context.Context) error) error
 	stop     chan struct{}
 	// ended is closed once the host's actors are to end.
 	ended chan struct{}
@@ -91,9 +99,12 @@
 		admin:  admin.New(b, k, m),
 		// The keeper's seam for a graceful stop takes this place.
 		handOver: func(context.Context) error { return nil },
+		notice:   leaveNotice,
+		linger:   leaveLinger,
 		stop:     make(chan struct{}),
 		ended:    make(chan struct{}),
 	}
+	h.drain, h.shutdown = h.finish, h.end
 	dialer.Lost = h.peers.Lost
 	h.peers.Heard = h.spread.Heard
 	h.peers.Heads = h.spread.Heads
@@ -111,6 +122,7 @@
 	h.addLoop(&group, h.beat)
 	h.addLoop(&group, h.peers.Run)
 	h.addLoop(&group, h.spread.Run)
+	h.addLoop(&group, h.book.Sweep)
 	h.addStop(&group)
 	h.log.Info("host started", zap.String("id", h.board.Self.String()))
 	err := group.Run()
