load: open-loop queries with histograms from the intended start, and the load command

The run's arrivals come from a fixed seed and wait for no answer; a query that finds no room waits, and its wait counts. apiv1.Answer gains the number of shards asked, which the query engine is to fill; until then the extra load is shown as not known.

--- a/apiv1/callers.go
+++ b/apiv1/callers.go
@@ -85,10 +85,12 @@
 	Service  string         `json:"service"`
 	Snapshot shard.Snapshot `json:"snapshot"`
 	// Shards is the number of shards there are, Answered the number of those that answered.
-	Shards   int       `json:"shards"`
-	Answered int       `json:"answered"`
-	Missing  []Missing `json:"missing"`
-	Parts    []Part    `json:"parts"`
+	Shards   int `json:"shards"`
+	Answered int `json:"answered"`
+	// Asked is the number of shards that targets were asked for, with hedges and retries; zero where it isn't counted.
+	Asked   int       `json:"asked"`
+	Missing []Missing `json:"missing"`
+	Parts   []Part    `json:"parts"`
 }
 
 // Tickets asks for a number of tickets.
--- a/cmds/callers.go
+++ b/cmds/callers.go
@@ -29,21 +29,26 @@
 
 // post sends one request and checks the answer's length and checksum; a refusal becomes a fault.Error.
 func (c *Caller) post(path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	return ask(ctx, http.DefaultClient, c.Host, path, in, out)
+}
+
+// ask sends one request through a client and decodes the answer, once its length and checksum are known to be right.
+func ask(ctx context.Context, client *http.Client, host netip.AddrPort, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return eris.Wrap(err, "encode request")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Host.String()+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return eris.Wrap(err, "build request")
 	}
 	// Without GetBody the library can't send the request a second time by itself.
 	req.GetBody = nil
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
-		return eris.Wrapf(err, "ask host %s", c.Host)
+		return eris.Wrapf(err, "ask host %s", host)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -21,9 +21,15 @@
 	Order    OrderCmd    `cmd:"" help:"Send an order, which may not be repeated."`
 	Settings SettingsCmd `cmd:"" help:"Read and change the settings tree."`
 	Status   StatusCmd   `cmd:"" help:"Show hosts, targets and changes in force."`
+	Load     LoadCmd     `cmd:"" help:"Send queries at random times and report latency, coverage, extra load and refusals."`
 	Version  VersionCmd  `cmd:"" help:"Print the version."`
 }
 
+// Progress is where commands show their progress, apart from their results.
+type Progress struct {
+	io.Writer
+}
+
 // Run parses the arguments and runs the chosen command; results go to out.
 func Run(args []string, out, problems io.Writer) int {
 	var root Root
@@ -32,6 +38,7 @@
 		kong.Description("A query tier between callers and targets that hold very many shards."),
 		kong.Writers(out, problems),
 		kong.BindTo(out, (*io.Writer)(nil)),
+		kong.Bind(Progress{Writer: problems}),
 	)
 	if err != nil {
 		fmt.Fprintln(problems, err)
--- a/units/units.go
+++ b/units/units.go
@@ -20,6 +20,11 @@
 	return time.Duration(d).String()
 }
 
+// Rounded returns the duration to a tenth of a second, for people to read.
+func (d Duration) Rounded() Duration {
+	return Duration(time.Duration(d).Round(100 * time.Millisecond))
+}
+
 // MarshalText writes the duration with its unit.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(d.String()), nil
