--- a/conf/file.go
+++ b/conf/file.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
-	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -15,13 +15,13 @@
 
 // Error is one finding in a settings file.
 type Error struct {
-	File string
+	File string `json:"file"`
 	// Line counts from one.
-	Line  int
-	Key   string
-	Value string
+	Line  int    `json:"line"`
+	Key   string `json:"key"`
+	Value string `json:"value"`
 	// Text says what is wrong and how to mend it.
-	Text string
+	Text string `json:"text"`
 }
 
 // Error returns the finding as "file:line: key = value: text".
@@ -37,6 +37,27 @@
 	return s + e.Text
 }
 
+// Findings returns all findings that an error joins, in the order of their lines; other errors are left out.
+func Findings(err error) []*Error {
+	all := []*Error{}
+	var collect func(error)
+	collect = func(err error) {
+		if joined, ok := err.(interface{ Unwrap() []error }); ok {
+			for _, e := range joined.Unwrap() {
+				collect(e)
+			}
+			return
+		}
+		var one *Error
+		if errors.As(err, &one) {
+			all = append(all, one)
+		}
+	}
+	collect(err)
+	slices.SortStableFunc(all, func(a, b *Error) int { return a.Line - b.Line })
+	return all
+}
+
 // File is a settings file that has been parsed but not yet decoded.
 type File struct {
 	Name string
@@ -57,128 +78,99 @@
 func Parse(name string, text []byte) (*File, error) {
 	root, err := hujson.Parse(text)
 	if err != nil {
-		return nil, &Error{File: name, Line: lineOfSyntax(err), Text: "not JSON with comments: " + err.Error()}
+		return nil, syntaxError(name, text, err.Error())
 	}
 	return &File{Name: name, text: text, root: root}, nil
 }
 
-func lineOfSyntax(err error) int {
-	line := 1
-	text := err.Error()
-	if i := strings.Index(text, "line "); i >= 0 {
-		fmt.Sscanf(text[i:], "line %d", &line)
-	}
-	return line
-}
-
-// JSON returns the content as plain JSON.
-func (f *File) JSON() []byte {
-	plain := f.root.Clone()
-	plain.Standardize()
-	return plain.Pack()
+// Size returns the length of the file's text in bytes.
+func (f *File) Size() int {
+	return len(f.text)
 }
 
-// Line returns the line of the value at a JSON pointer, such as "/regions/fyn", or of its nearest parent that exists.
-func (f *File) Line(pointer string) int {
-	for {
-		if v := f.root.Find(pointer); v != nil {
-			return 1 + bytes.Count(f.text[:v.StartOffset], []byte("\n"))
-		}
-		cut := strings.LastIndex(pointer, "/")
-		if cut < 0 {
-			return 1
+func syntaxError(name string, text []byte, problem string) *Error {
+	problem = strings.TrimPrefix(problem, "hujson: ")
+	e := &Error{File: name, Line: 1}
+	if place, what, found := strings.Cut(problem, ": "); found {
+		var column int
+		if n, _ := fmt.Sscanf(place, "line %d, column %d", &e.Line, &column); n > 0 {
+			problem = what
 		}
-		pointer = pointer[:cut]
 	}
-}
-
-// Value returns the text of the value at a JSON pointer, or "".
-func (f *File) Value(pointer string) string {
-	v := f.root.Find(pointer)
-	if v == nil {
-		return ""
+	e.Text = "not JSON with comments: " + problem
+	switch {
+	case strings.Contains(problem, "parsing string"):
+		// The parser names the end of the file, but the quote to close is the last one.
+		e.Line = lineAt(text, bytes.LastIndexByte(text, '"'))
+		e.Text += ": close the quote"
+	case strings.Contains(problem, "expecting ','"):
+		e.Text += ": put a comma after the value before this place"
 	}
-	return string(bytes.TrimSpace(f.text[v.StartOffset:v.EndOffset]))
+	return e
 }
 
-// Errorf returns an Error for the value at a JSON pointer.
-func (f *File) Errorf(pointer, format string, args ...any) *Error {
-	return &Error{
-		File:  f.Name,
-		Line:  f.Line(pointer),
-		Key:   strings.ReplaceAll(strings.TrimPrefix(pointer, "/"), "/", "."),
-		Value: shorten(f.Value(pointer)),
-		Text:  fmt.Sprintf(format, args...),
-	}
+func lineAt(text []byte, offset int) int {
+	return 1 + bytes.Count(text[:max(offset, 0)], []byte("\n"))
 }
 
-func shorten(s string) string {
-	const longest = 60
-	if len(s) > longest {
-		return s[:longest] + "..."
-	}
-	return s
-}
+var pointerEscape = strings.NewReplacer("~", "~0", "/", "~1")
 
-// Decode fills the struct that into points to and fails with an Error on unknown keys and wrong values.
-func (f *File) Decode(into any) error {
-	return f.decodeAt("", f.JSON(), reflect.ValueOf(into).Elem())
+// Join returns the JSON pointer of the value under key below a pointer.
+func Join(pointer, key string) string {
+	return pointer + "/" + pointerEscape.Replace(key)
 }
 
-// decodeAt decodes one object key by key, so that each error can name its place.
-func (f *File) decodeAt(pointer string, text []byte, into reflect.Value) error {
-	var raw map[string]json.RawMessage
-	if err := json.Unmarshal(text, &raw); err != nil {
-		return f.Errorf(pointer, "use an object")
-	}
-	for key, value := range raw {
-		at := pointer + "/" + key
-		field, known := fieldFor(into, key)
-		if !known {
-			return f.Errorf(at, "unknown key: use one of %s", strings.Join(keysOf(into.Type()), ", "))
+// find returns the value at a JSON pointer or its nearest parent that exists, and whether it is the value itself.
+func (f *File) find(pointer string) (v *hujson.Value, exact bool) {
+	for at := pointer; ; {
+		if v := f.root.Find(at); v != nil {
+			return v, at == pointer
 		}
-		if err := f.decodeField(at, value, field); err != nil {
-			return err
+		cut := strings.LastIndex(at, "/")
+		if cut < 0 {
+			return &f.root, false
 		}
+		at = at[:cut]
 	}
-	return nil
 }
 
-func (f *File) decodeField(at string, value json.RawMessage, field reflect.Value) error {
-	_, own := field.Addr().Interface().(interface{ UnmarshalText([]byte) error })
-	if field.Kind() == reflect.Struct && !own {
-		return f.decodeAt(at, value, field)
-	}
-	err := json.Unmarshal(value, field.Addr().Interface())
-	var wrongType *json.UnmarshalTypeError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &wrongType):
-		return f.Errorf(at, "wrong type: use %s", wrongType.Type)
-	default:
-		return f.Errorf(at, "%v", err)
+// Errorf returns an Error for the value at a JSON pointer, with the line of its nearest parent where it doesn't exist.
+func (f *File) Errorf(pointer, format string, args ...any) *Error {
+	v, exact := f.find(pointer)
+	e := f.errorAt(pointer, v, fmt.Sprintf(format, args...))
+	if !exact {
+		e.Value = ""
 	}
+	return e
 }
 
-func fieldFor(into reflect.Value, key string) (reflect.Value, bool) {
-	for i := range into.NumField() {
-		if tagOf(into.Type().Field(i)) == key {
-			return into.Field(i), true
-		}
+func (f *File) errorAt(pointer string, v *hujson.Value, text string) *Error {
+	parts := strings.Split(strings.TrimPrefix(pointer, "/"), "/")
+	for i := range parts {
+		parts[i] = strings.NewReplacer("~1", "/", "~0", "~").Replace(parts[i])
+	}
+	return &Error{
+		File:  f.Name,
+		Line:  lineAt(f.text, v.StartOffset),
+		Key:   strings.Join(parts, "."),
+		Value: f.valueText(v),
+		Text:  text,
 	}
-	return reflect.Value{}, false
 }
 
-func keysOf(t reflect.Type) []string {
-	var keys []string
-	for i := range t.NumField() {
-		keys = append(keys, tagOf(t.Field(i)))
+// valueText returns the text of a value that isn't an object, cut to a length that fits into a message.
+func (f *File) valueText(v *hujson.Value) string {
+	const longest = 60
+	if _, ok := v.Value.(*hujson.Object); ok {
+		return ""
 	}
-	return keys
+	s := string(bytes.TrimSpace(f.text[v.StartOffset:v.EndOffset]))
+	if len(s) > longest {
+		return s[:longest] + "..."
+	}
+	return s
 }
 
-func tagOf(f reflect.StructField) string {
-	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-	return name
+func sortedNames(m map[string]string) []string {
+	return slices.Sorted(maps.Keys(m))
 }
--- a/conf/host.go
+++ b/conf/host.go
@@ -1,9 +1,12 @@
 package conf
 
 import (
+	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
+	"kingcupcross/logs"
 	"kingcupcross/units"
 )
 
@@ -18,61 +21,108 @@
 	// Callers is where callers and the platform's balancer are answered.
 	Callers netip.AddrPort `json:"callers" doc:"address for callers and the platform's balancer"`
 	// Peers is where other hosts are answered.
-	Peers netip.AddrPort `json:"peers" doc:"address for other hosts"`
+	Peers netip.AddrPort `json:"peers" doc:"address for other hosts, by which they reach this one"`
 	// Admin is where operators are answered.
-	Admin netip.AddrPort `json:"admin" doc:"address for operators and metrics"`
+	Admin netip.AddrPort `json:"admin" doc:"address for operators and metrics, by which they reach this host"`
 	// Platform is the address of the platform's store and list of hosts.
 	Platform netip.AddrPort `json:"platform" doc:"address of the platform's store and list of hosts"`
 	// Seeds are peers' addresses of hosts to ask first, for starts without the platform.
-	Seeds []netip.AddrPort `json:"seeds" doc:"peers' addresses of some hosts, for a start while the platform is down"`
+	Seeds []netip.AddrPort `json:"seeds" default:"[]" doc:"peers' addresses of some hosts, for a start while the platform is down"`
 	// Grace bounds the time that a graceful stop waits for requests in flight.
-	Grace units.Duration `json:"grace" doc:"longest time that a graceful stop waits for requests in flight; default 30s"`
+	Grace units.Duration `json:"grace" default:"30s" min:"1s" max:"10m" doc:"longest time that a graceful stop waits for requests in flight"`
 	// Log is the level of each subsystem.
-	Log map[string]string `json:"log" doc:"log level by subsystem, such as {\"keeper\": \"debug\"}; \"all\" sets the default"`
+	Log map[string]string `json:"log" default:"{}" doc:"log level by subsystem, such as {\"keeper\": \"debug\"}; \"all\" sets the default"`
 }
 
-// LoadHost reads and checks a host's settings file.
+// Bounds of grace, as its tags state them.
+const (
+	defaultGrace  = 30 * time.Second
+	shortestGrace = time.Second
+	longestGrace  = 10 * time.Minute
+)
+
+// LoadHost reads and checks a host's settings file; the error joins an Error for each finding.
 func LoadHost(name string) (*Host, error) {
 	f, err := Read(name)
 	if err != nil {
 		return nil, err
 	}
 	h := &Host{Grace: units.Duration(defaultGrace)}
-	if err := f.Decode(h); err != nil {
-		return nil, err
+	err = f.Decode(h)
+	if err == nil {
+		err = errors.Join(f.checkHost(h)...)
+	}
+	if err != nil {
+		return nil, sorted(err)
+	}
+	return h, nil
+}
+
+// sorted joins the findings anew in the order of their lines.
+func sorted(err error) error {
+	var all []error
+	for _, e := range Findings(err) {
+		all = append(all, e)
 	}
-	return h, f.checkHost(h)
+	return errors.Join(all...)
 }
 
-func (f *File) checkHost(h *Host) error {
+func (f *File) checkHost(h *Host) []error {
+	var all []error
 	names := []struct{ key, value string }{
-		{key: "/name", value: h.Name},
-		{key: "/region", value: h.Region},
-		{key: "/datacentre", value: h.Datacentre},
+		{key: "name", value: h.Name},
+		{key: "region", value: h.Region},
+		{key: "datacentre", value: h.Datacentre},
 	}
 	for _, n := range names {
 		if n.value == "" {
-			return f.Errorf(n.key, "%s must be given: add %q", n.key[1:], n.key[1:]+`": "...`)
+			all = append(all, f.Errorf("/"+n.key, "%s must be given: add \"%s\": \"...\"", n.key, n.key))
 		}
 	}
+	all = append(all, f.checkAddresses(h)...)
+	if h.Grace.D() < shortestGrace || h.Grace.D() > longestGrace {
+		all = append(all, f.Errorf("/grace", "out of bounds: use %s to %s", shortestGrace, longestGrace))
+	}
+	for _, name := range sortedNames(h.Log) {
+		if err := logs.Check(name, h.Log[name]); err != nil {
+			all = append(all, f.Errorf(Join("/log", name), "%v", err))
+		}
+	}
+	return all
+}
+
+func (f *File) checkAddresses(h *Host) []error {
+	var all []error
 	addresses := []struct {
 		key   string
 		value netip.AddrPort
+		// dialled says that others reach this host by the address, so that it must be a whole one.
+		dialled bool
 	}{
-		{key: "/callers", value: h.Callers},
-		{key: "/peers", value: h.Peers},
-		{key: "/admin", value: h.Admin},
-		{key: "/platform", value: h.Platform},
+		{key: "callers", value: h.Callers},
+		{key: "peers", value: h.Peers, dialled: true},
+		{key: "admin", value: h.Admin, dialled: true},
+		{key: "platform", value: h.Platform, dialled: true},
 	}
+	taken := map[netip.AddrPort]string{}
 	for _, a := range addresses {
-		if !a.value.IsValid() {
-			return f.Errorf(a.key, "%s must be given as \"address:port\"", a.key[1:])
+		switch other := taken[a.value]; {
+		case !a.value.IsValid():
+			all = append(all, f.Errorf("/"+a.key, "%s must be given: add \"%s\": \"address:port\"", a.key, a.key))
+		case a.value.Port() == 0:
+			all = append(all, f.Errorf("/"+a.key, "port 0 is no port: use 1 to 65535"))
+		case a.dialled && a.value.Addr().IsUnspecified():
+			all = append(all, f.Errorf("/"+a.key, "nobody can reach %s: use the address of the machine", a.value.Addr()))
+		case other != "":
+			all = append(all, f.Errorf("/"+a.key, "the same as %s: use another port", other))
+		default:
+			taken[a.value] = a.key
 		}
 	}
-	if h.Grace <= 0 {
-		return f.Errorf("/grace", "use a duration above zero")
+	for i, s := range h.Seeds {
+		if s.Port() == 0 || s.Addr().IsUnspecified() {
+			all = append(all, f.Errorf(fmt.Sprintf("/seeds/%d", i), "nobody can reach %s: use the peers' address of a host", s))
+		}
 	}
-	return nil
+	return all
 }
-
-const defaultGrace = 30 * time.Second
--- a/tree/change.go
+++ b/tree/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -57,7 +58,7 @@
 		next.set(o)
 	}
 	if problems := next.Check(); len(problems) > 0 {
-		return nil, problems[0]
+		return nil, joinProblems(problems)
 	}
 	return next, nil
 }
@@ -75,3 +76,11 @@
 	}
 	t.levels[o.Path][o.Key] = o.After
 }
+
+func joinProblems(problems []Problem) error {
+	all := make([]error, 0, len(problems))
+	for _, p := range problems {
+		all = append(all, p)
+	}
+	return errors.Join(all...)
+}
--- a/tree/document.go
+++ b/tree/document.go
@@ -4,26 +4,32 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"kingcupcross/conf"
+	"kingcupcross/units"
 )
 
+// MaxSize is the largest size of a tree in the form in which the platform's store holds it: 1 MiB, less room for what a change adds.
+const MaxSize = units.MiB - 64*units.KiB
+
 // document is the form of a tree as operators write it.
 type document struct {
 	Organisation string            `json:"organisation"`
-	Settings     Level             `json:"settings"`
-	Regions      map[string]region `json:"regions"`
+	Settings     Level             `json:"settings,omitempty"`
+	Regions      map[string]region `json:"regions,omitempty"`
 }
 
 type region struct {
-	Settings Level              `json:"settings"`
-	Services map[string]service `json:"services"`
+	Settings Level              `json:"settings,omitempty"`
+	Services map[string]service `json:"services,omitempty"`
 }
 
 type service struct {
-	Settings Level `json:"settings"`
+	Settings Level `json:"settings,omitempty"`
 }
 
 // Document is a tree as read from a file, with the place of each level.
@@ -34,34 +40,49 @@
 	place map[Path]string
 }
 
-// ReadDocument reads and checks a tree's file; the error joins a conf.Error for each finding.
+// ReadDocument reads and checks a tree's file; the error joins a conf.Error for each finding, in the order of lines.
 func ReadDocument(f *conf.File) (*Document, error) {
 	var d document
-	if err := decodeStrict(f, &d); err != nil {
+	if err := f.Decode(&d); err != nil {
 		return nil, err
 	}
-	if d.Organisation == "" {
-		return nil, f.Errorf("/organisation", "organisation must be given")
-	}
 	doc := &Document{Tree: Empty(), file: f, place: map[Path]string{}}
-	root := Join(d.Organisation)
-	doc.add(root, "/settings", d.Settings)
-	for name, r := range d.Regions {
-		doc.add(Join(d.Organisation, name), "/regions/"+name+"/settings", r.Settings)
-		for s, v := range r.Services {
-			doc.add(Join(d.Organisation, name, s), "/regions/"+name+"/services/"+s+"/settings", v.Settings)
-		}
+	findings := doc.addAll(d)
+	if len(findings) == 0 {
+		findings = doc.check()
 	}
-	return doc, doc.check()
+	all := conf.Findings(errors.Join(findings...))
+	if len(all) == 0 {
+		return doc, nil
+	}
+	joined := make([]error, 0, len(all))
+	for _, e := range all {
+		joined = append(joined, e)
+	}
+	return nil, errors.Join(joined...)
 }
 
-func decodeStrict(f *conf.File, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(f.JSON()))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return f.Errorf("", "%v: a tree has organisation, settings and regions; a region settings and services; a service settings", err)
+func (d *Document) addAll(doc document) []error {
+	var all []error
+	if text := checkName(doc.Organisation); text != "" {
+		all = append(all, d.file.Errorf("/organisation", "%s", text))
 	}
-	return nil
+	d.add(Join(doc.Organisation), "/settings", doc.Settings)
+	for name, r := range doc.Regions {
+		at := conf.Join("/regions", name)
+		if text := checkName(name); text != "" {
+			all = append(all, d.file.Errorf(at, "%s", text))
+		}
+		d.add(Join(doc.Organisation, name), at+"/settings", r.Settings)
+		for s, v := range r.Services {
+			below := conf.Join(at+"/services", s)
+			if text := checkName(s); text != "" {
+				all = append(all, d.file.Errorf(below, "%s", text))
+			}
+			d.add(Join(doc.Organisation, name, s), below+"/settings", v.Settings)
+		}
+	}
+	return all
 }
 
 func (d *Document) add(p Path, pointer string, l Level) {
@@ -71,12 +92,52 @@
 	}
 }
 
-func (d *Document) check() error {
+func (d *Document) check() []error {
 	var all []error
 	for _, p := range d.Tree.Check() {
-		all = append(all, d.file.Errorf(d.place[p.Path]+"/"+p.Key, "%s", p.Text))
+		all = append(all, d.file.Errorf(conf.Join(d.place[p.Path], p.Key), "%s", p.Text))
+	}
+	return append(all, d.checkSize()...)
+}
+
+// checkSize finds a tree that no change could carry into the store.
+func (d *Document) checkSize() []error {
+	whole, err := d.Tree.Encode()
+	if err != nil {
+		return []error{d.file.Errorf("", "%v", err)}
+	}
+	if size := units.Size(len(whole)); size > MaxSize {
+		return []error{d.file.Errorf("", "too large for the store: the settings have %s, use at most %s; set at a higher level what lower ones share", size, MaxSize)}
+	}
+	return nil
+}
+
+// Format returns the tree in the form that ReadDocument reads, without comments of its own.
+func (t *Tree) Format() []byte {
+	d := document{Organisation: t.Organisation(), Regions: map[string]region{}}
+	for p, l := range t.levels {
+		parts := strings.Split(string(p), "/")
+		if len(parts) == 1 {
+			d.Settings = l
+			continue
+		}
+		r := d.Regions[parts[1]]
+		if len(parts) == 2 {
+			r.Settings = l
+		} else {
+			if r.Services == nil {
+				r.Services = map[string]service{}
+			}
+			r.Services[parts[2]] = service{Settings: l}
+		}
+		d.Regions[parts[1]] = r
+	}
+	text, err := json.MarshalIndent(d, "", "  ")
+	if err != nil {
+		// The values were valid JSON when the change was applied, so only a fault of the checks leads here.
+		panic(fmt.Sprintf("format settings: %v", err))
 	}
-	return errors.Join(all...)
+	return fmt.Appendf(nil, "// The settings after change %d.\n%s\n", t.N, text)
 }
 
 // Diff returns the operations that turn t into next, in order.
--- a/tree/fields.go
+++ b/tree/fields.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"reflect"
 	"strings"
+
+	"kingcupcross/conf"
 )
 
 // field describes one setting, as read from the tags of Values.
@@ -76,3 +78,8 @@
 	}
 	return &v, nil
 }
+
+// Fields describes the settings of the tree, in the order of Values.
+func Fields() []conf.Field {
+	return conf.Describe(reflect.TypeFor[Values]())
+}
