--- a/admin/admin.go
+++ b/admin/admin.go
@@ -7,11 +7,16 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"kingcupcross/apiv1"
 	"kingcupcross/board"
+	"kingcupcross/fault"
 	"kingcupcross/keeper"
+	"kingcupcross/logs"
 	"kingcupcross/meter"
 	"kingcupcross/shard"
+	"kingcupcross/units"
 )
 
 // Admin answers operators.
@@ -19,14 +24,21 @@
 	board  *board.Board
 	keeper *keeper.Keeper
 	meter  *meter.Meter
+	logs   *logs.Logs
+	log    *zap.Logger
+	// explain says how a query of a service would be routed; it fails with a fault.Error.
+	explain func(service string) (*apiv1.Explanation, error)
 }
 
-// New returns the operators' front end of a host.
-func New(b *board.Board, k *keeper.Keeper, m *meter.Meter) *Admin {
+// New returns the operators' front end of a host; explain says how a query of a service would be routed.
+func New(b *board.Board, k *keeper.Keeper, m *meter.Meter, l *logs.Logs, explain func(service string) (*apiv1.Explanation, error)) *Admin {
 	return &Admin{
-		board:  b,
-		keeper: k,
-		meter:  m,
+		board:   b,
+		keeper:  k,
+		meter:   m,
+		logs:    l,
+		log:     l.For("admin"),
+		explain: explain,
 	}
 }
 
@@ -34,17 +46,70 @@
 
 // Server returns the HTTP server for operators.
 func (a *Admin) Server() *http.Server {
+	return &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout}
+}
+
+// Handler returns the routes of the operators' interface.
+func (a *Admin) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+apiv1.PathStatus, a.status)
+	mux.HandleFunc("GET "+apiv1.PathStatus, func(w http.ResponseWriter, _ *http.Request) { answer(w, a.Status()) })
+	mux.HandleFunc("GET "+apiv1.PathExplain, a.route)
+	mux.HandleFunc("GET "+apiv1.PathLogs, func(w http.ResponseWriter, _ *http.Request) { a.sendLevels(w) })
+	mux.HandleFunc("PUT "+apiv1.PathLogs, a.setLevels)
 	mux.Handle("GET "+apiv1.PathMetrics, a.meter.Handler())
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return mux
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
 }
 
-func (a *Admin) status(w http.ResponseWriter, _ *http.Request) {
+func fail(w http.ResponseWriter, err error) {
+	f := fault.Of(err)
+	row := fault.Answer(f.Kind)
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(a.Status())
+	w.WriteHeader(row.Status)
+	json.NewEncoder(w).Encode(apiv1.Failure{
+		Kind:   row.Name,
+		NotRun: f.NotRun(),
+		Retry:  units.Duration(f.Wait()),
+		Text:   f.Text,
+	})
+}
+
+// route says how a query would be routed.
+func (a *Admin) route(w http.ResponseWriter, r *http.Request) {
+	e, err := a.explain(r.URL.Query().Get("service"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, e)
+}
+
+func (a *Admin) sendLevels(w http.ResponseWriter) {
+	answer(w, apiv1.LogLevels{Levels: a.logs.Levels()})
+}
+
+// setLevels changes the levels of some subsystems until the host's next start.
+func (a *Admin) setLevels(w http.ResponseWriter, r *http.Request) {
+	var in apiv1.LogLevels
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLevels)).Decode(&in); err != nil {
+		fail(w, fault.New(fault.Invalid, "%v", err))
+		return
+	}
+	if err := a.logs.Set(in.Levels); err != nil {
+		fail(w, fault.New(fault.Invalid, "%v", err))
+		return
+	}
+	a.log.Info("log levels changed", zap.Any("levels", in.Levels))
+	a.sendLevels(w)
 }
 
+// maxLevels bounds the body of a change of log levels in bytes.
+const maxLevels = 1 << 16
+
 // Status describes this host.
 func (a *Admin) Status() apiv1.Status {
 	settings := a.board.Tree.Load()
--- a/apiv1/operators.go
+++ b/apiv1/operators.go
@@ -8,6 +8,8 @@
 // Paths of the operators' interface.
 const (
 	PathStatus  = "/v1/status"
+	PathExplain = "/v1/explain"
+	PathLogs    = "/v1/logs"
 	PathMetrics = "/metrics"
 )
 
@@ -37,3 +39,51 @@
 	Maps     map[string]shard.Snapshot `json:"maps"`
 	Out      []string                  `json:"out"`
 }
+
+// Explanation says how a host would route a query of a service now.
+type Explanation struct {
+	Service string `json:"service"`
+	// Host is the host that answers, and the only one that this is true for.
+	Host     string         `json:"host"`
+	Snapshot shard.Snapshot `json:"snapshot"`
+	// Change is the settings change in force.
+	Change uint64  `json:"change"`
+	Shards []Route `json:"shards"`
+}
+
+// Route gives the replicas of one shard.
+type Route struct {
+	Shard    int       `json:"shard"`
+	Replicas []Replica `json:"replicas"`
+}
+
+// Replica is one copy of a shard at a target.
+type Replica struct {
+	Target     string `json:"target"`
+	Datacentre string `json:"datacentre"`
+	// Keeper is the host through which the target is asked, or "" where there is none.
+	Keeper string `json:"keeper"`
+	// Chosen says that this replica is asked first.
+	Chosen bool `json:"chosen"`
+	// Why says why the replica is asked or not.
+	Why string `json:"why"`
+}
+
+// Reachable returns the number of shards with a replica to ask.
+func (e *Explanation) Reachable() int {
+	n := 0
+	for _, s := range e.Shards {
+		for _, r := range s.Replicas {
+			if r.Chosen {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// LogLevels holds the level of each subsystem's log by its name.
+type LogLevels struct {
+	Levels map[string]string `json:"levels"`
+}
