--- a/cmds/callers.go
+++ b/cmds/callers.go
@@ -23,7 +23,7 @@
 
 // Caller holds what all commands need that speak to a host as a caller.
 type Caller struct {
-	Host netip.AddrPort `required:"" help:"Callers' address of a host."`
+	Host netip.AddrPort `required:"" env:"KINGCUPCROSS_HOST" help:"Callers' address of a host."`
 	JSON bool           `help:"Print JSON."`
 }
 
@@ -69,6 +69,11 @@
 	if err := json.Unmarshal(body, &f); err != nil {
 		return eris.Wrap(err, "decode refusal")
 	}
+	return asFault(f)
+}
+
+// asFault returns a refusal as an error of its kind.
+func asFault(f apiv1.Failure) error {
 	for _, k := range fault.Kinds() {
 		if k.String() == f.Kind {
 			return fault.New(k, "%s (not run: %t, come back after %s)", f.Text, f.NotRun, f.Retry)
--- a/cmds/exit.go
+++ b/cmds/exit.go
@@ -16,12 +16,30 @@
 	ExitConflict = 4
 	ExitUnknown  = 5
 	ExitRefused  = 6
+	ExitPending  = 7
 )
 
+// exitTexts explains the exit codes, in their order.
+var exitTexts = []string{
+	ExitOK:       "done",
+	ExitFailed:   "failed for a reason outside the table of refusals, such as a file that can't be read or a host that gives no answer",
+	ExitUsage:    "the command line is wrong",
+	ExitSettings: "the checks found something wrong with the settings or the request; nothing was changed",
+	ExitConflict: "another operator's change came first; nothing was changed",
+	ExitUnknown:  "it is not known whether the order ran or the change took effect",
+	ExitRefused:  "the host or the platform refused; the message says whether nothing ran and when to come back",
+	ExitPending:  "the change isn't in force everywhere yet, or no change has the id that was asked for",
+}
+
 func exitOf(err error) int {
 	var file *conf.Error
-	if errors.As(err, &file) {
+	var pending *PendingError
+	var absent *AbsentError
+	switch {
+	case errors.As(err, &file):
 		return ExitSettings
+	case errors.As(err, &pending), errors.As(err, &absent):
+		return ExitPending
 	}
 	var f *fault.Error
 	if !errors.As(err, &f) {
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -20,8 +20,12 @@
 	Tickets  TicketsCmd  `cmd:"" help:"Fetch tickets for orders."`
 	Order    OrderCmd    `cmd:"" help:"Send an order, which may not be repeated."`
 	Settings SettingsCmd `cmd:"" help:"Read and change the settings tree."`
-	Status   StatusCmd   `cmd:"" help:"Show hosts, targets and changes in force."`
+	Drain    DrainCmd    `cmd:"" help:"Take a data centre out of service, as a change of the settings."`
+	Undrain  UndrainCmd  `cmd:"" help:"Bring a data centre back into service, as a change of the settings."`
+	Status   StatusCmd   `cmd:"" help:"Show hosts, data centres, targets and changes in force."`
+	Explain  ExplainCmd  `cmd:"" help:"Show how a host routes a query: the replicas, their keepers and why."`
 	Load     LoadCmd     `cmd:"" help:"Send queries at random times and report latency, coverage, extra load and refusals."`
+	Docs     DocsCmd     `cmd:"" hidden:"" help:"Print a generated page."`
 	Version  VersionCmd  `cmd:"" help:"Print the version."`
 }
 
