--- a/cmds/callers.go
+++ b/cmds/callers.go
@@ -23,27 +23,32 @@
 
 // Caller holds what all commands need that speak to a host as a caller.
 type Caller struct {
-	Host netip.AddrPort `required:"" help:"Callers' address of a host."`
+	Host netip.AddrPort `required:"" env:"KINGCUPCROSS_HOST" help:"Callers' address of a host."`
 	JSON bool           `help:"Print JSON."`
 }
 
 // post sends one request and checks the answer's length and checksum; a refusal becomes a fault.Error.
 func (c *Caller) post(path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	return ask(ctx, http.DefaultClient, c.Host, path, in, out)
+}
+
+// ask sends one request through a client and decodes the answer, once its length and checksum are known to be right.
+func ask(ctx context.Context, client *http.Client, host netip.AddrPort, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return eris.Wrap(err, "encode request")
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Host.String()+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return eris.Wrap(err, "build request")
 	}
 	// Without GetBody the library can't send the request a second time by itself.
 	req.GetBody = nil
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
-		return eris.Wrapf(err, "ask host %s", c.Host)
+		return eris.Wrapf(err, "ask host %s", host)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
@@ -64,6 +69,11 @@
 	if err := json.Unmarshal(body, &f); err != nil {
 		return eris.Wrap(err, "decode refusal")
 	}
+	return asFault(f)
+}
+
+// asFault returns a refusal as an error of its kind.
+func asFault(f apiv1.Failure) error {
 	for _, k := range fault.Kinds() {
 		if k.String() == f.Kind {
 			return fault.New(k, "%s (not run: %t, come back after %s)", f.Text, f.NotRun, f.Retry)
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -20,10 +20,20 @@
 	Tickets  TicketsCmd  `cmd:"" help:"Fetch tickets for orders."`
 	Order    OrderCmd    `cmd:"" help:"Send an order, which may not be repeated."`
 	Settings SettingsCmd `cmd:"" help:"Read and change the settings tree."`
-	Status   StatusCmd   `cmd:"" help:"Show hosts, targets and changes in force."`
+	Drain    DrainCmd    `cmd:"" help:"Take a data centre out of service, as a change of the settings."`
+	Undrain  UndrainCmd  `cmd:"" help:"Bring a data centre back into service, as a change of the settings."`
+	Status   StatusCmd   `cmd:"" help:"Show hosts, data centres, targets and changes in force."`
+	Explain  ExplainCmd  `cmd:"" help:"Show how a host routes a query: the replicas, their keepers and why."`
+	Load     LoadCmd     `cmd:"" help:"Send queries at random times and report latency, coverage, extra load and refusals."`
+	Docs     DocsCmd     `cmd:"" hidden:"" help:"Print a generated page."`
 	Version  VersionCmd  `cmd:"" help:"Print the version."`
 }
 
+// Progress is where commands show their progress, apart from their results.
+type Progress struct {
+	io.Writer
+}
+
 // Run parses the arguments and runs the chosen command; results go to out.
 func Run(args []string, out, problems io.Writer) int {
 	var root Root
@@ -32,6 +42,7 @@
 		kong.Description("A query tier between callers and targets that hold very many shards."),
 		kong.Writers(out, problems),
 		kong.BindTo(out, (*io.Writer)(nil)),
+		kong.Bind(Progress{Writer: problems}),
 	)
 	if err != nil {
 		fmt.Fprintln(problems, err)
