--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"kingcupcross/fault"
@@ -11,104 +10,163 @@
 	"kingcupcross/wire"
 )
 
-// ask is one Ask under way; results are added as parts end.
-type ask struct {
-	mu      sync.Mutex
-	results []wire.Result
-	left    int
-	done    chan struct{}
-	cancel  map[string]context.CancelFunc
-}
+// askGrace is how long an Ask is remembered after its deadline.
+const askGrace = time.Second
 
 // Ask serves the parts of a query and returns when all are done or the soft time has passed.
 func (k *Keeper) Ask(ctx context.Context, q wire.Ask) wire.AskReply {
 	if f := k.refuse(); f != nil {
-		return wire.AskReply{Fault: f}
+		return wire.AskReply{ID: q.ID, Fault: f}
 	}
-	a := &ask{left: len(q.Parts), done: make(chan struct{}), cancel: map[string]context.CancelFunc{}}
-	k.mu.Lock()
-	k.asks[q.ID] = a
-	k.mu.Unlock()
-	for _, p := range q.Parts {
-		partCtx, cancel := k.clock.WithTimeout(context.WithoutCancel(ctx), q.Left)
-		a.cancel[p.Target] = cancel
-		go k.part(partCtx, cancel, a, q, p)
+	a, f := k.open(ctx, q)
+	if f != nil {
+		return wire.AskReply{ID: q.ID, Fault: f}
 	}
-	stop := k.clock.AfterFunc(q.Left+askGrace, func() { k.forget(q.ID) })
+	soft := make(chan struct{})
+	stop := k.clock.AfterFunc(min(q.Soft, q.Left), func() { close(soft) })
+	defer stop()
 	select {
 	case <-a.done:
-		stop()
-		k.forget(q.ID)
-	case <-k.clock.After(min(q.Soft, q.Left)):
+	case <-soft:
 	}
-	return a.take()
+	return k.take(a)
 }
 
-// askGrace is how long an Ask is remembered after its deadline.
-const askGrace = time.Second
+// open remembers the Ask and starts its parts; an id that is in use would mix two queries' results and is refused.
+func (k *Keeper) open(ctx context.Context, q wire.Ask) (*ask, *fault.Error) {
+	a := newAsk(q.ID, len(q.Parts))
+	contexts := make([]context.Context, len(q.Parts))
+	for i, p := range q.Parts {
+		partCtx, cancel := k.clock.WithTimeout(context.WithoutCancel(ctx), q.Left)
+		contexts[i] = partCtx
+		a.parts[p.Target] = newPart(q.ID+"/"+p.Target, cancel)
+	}
+	a.lapse = k.clock.AfterFunc(q.Left+askGrace, func() { k.drop(a) })
+	if !k.keep(a) {
+		a.lapse()
+		return nil, fault.New(fault.Conflict, "ask %s is under way here", q.ID)
+	}
+	for i, p := range q.Parts {
+		go k.part(contexts[i], a, q, p)
+	}
+	return a, nil
+}
 
-// Rest waits for the parts of an Ask that were not done when it was answered.
-func (k *Keeper) Rest(_ context.Context, r wire.Rest) wire.AskReply {
-	k.mu.Lock()
-	a := k.asks[r.ID]
-	k.mu.Unlock()
+// Rest waits for the next of the parts that were not done when their Ask was answered.
+func (k *Keeper) Rest(ctx context.Context, r wire.Rest) wire.AskReply {
+	a := k.find(r.ID)
 	if a == nil {
-		return wire.AskReply{Fault: fault.New(fault.Moved, "ask %s is not known here", r.ID)}
+		return wire.AskReply{ID: r.ID, Fault: fault.New(fault.Moved, "ask %s is not known here", r.ID)}
+	}
+	select {
+	case <-a.news:
+	case <-a.done:
+	case <-ctx.Done():
 	}
-	<-a.done
-	k.forget(r.ID)
-	return a.take()
+	return k.take(a)
 }
 
-// Drop cancels parts of an Ask.
+// Drop cancels parts of an Ask at their targets.
 func (k *Keeper) Drop(d wire.Drop) {
-	k.mu.Lock()
-	a := k.asks[d.ID]
-	k.mu.Unlock()
+	a := k.find(d.ID)
 	if a == nil {
 		return
 	}
 	if len(d.Targets) == 0 {
-		for _, cancel := range a.cancel {
-			cancel()
+		for _, p := range a.parts {
+			k.stop(p)
 		}
 	}
 	for _, t := range d.Targets {
-		if cancel := a.cancel[t]; cancel != nil {
-			cancel()
+		if p := a.parts[t]; p != nil {
+			k.stop(p)
 		}
 	}
 }
 
-func (k *Keeper) forget(id string) {
+func (k *Keeper) find(id string) *ask {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.asks, id)
+	return k.asks[id]
 }
 
-func (k *Keeper) part(ctx context.Context, cancel context.CancelFunc, a *ask, q wire.Ask, p wire.Part) {
-	defer cancel()
-	r := k.query(ctx, q, p)
+// take returns what is new of an Ask and forgets it with its last result.
+func (k *Keeper) take(a *ask) wire.AskReply {
+	r := a.take()
+	if !r.Pending {
+		k.forget(a)
+	}
+	return r
+}
+
+// keep remembers an Ask unless its id is in use.
+func (k *Keeper) keep(a *ask) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, used := k.asks[a.id]; used && !k.reuse {
+		return false
+	}
+	k.asks[a.id] = a
+	return true
+}
+
+func (k *Keeper) forget(a *ask) {
+	a.lapse()
+	k.drop(a)
+}
+
+func (k *Keeper) drop(a *ask) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.asks[a.id] == a {
+		delete(k.asks, a.id)
+	}
+}
+
+// cancelGrace is the time in which a target must answer a cancelled sub-request before its connection is given up.
+const cancelGrace = 50 * time.Millisecond
+
+// stop cancels a part: at its target where it was sent, which keeps the connection, and by its context otherwise or where the target doesn't react.
+func (k *Keeper) stop(p *part) {
+	c := p.client.Load()
+	if c == nil {
+		p.cancel()
+		return
+	}
+	k.clock.AfterFunc(cancelGrace, p.cancel)
+	go func() {
+		if c.Cancel(p.ended, p.id) != nil {
+			p.cancel()
+		}
+	}()
+}
+
+func (k *Keeper) part(ctx context.Context, a *ask, q wire.Ask, p wire.Part) {
+	own := a.parts[p.Target]
+	defer own.end()
+	start := k.clock.Now()
+	r := k.query(ctx, own, q, p)
 	r.Target = p.Target
+	r.Took = k.clock.Since(start)
 	a.add(r)
 }
 
-func (k *Keeper) query(ctx context.Context, q wire.Ask, p wire.Part) wire.Result {
+func (k *Keeper) query(ctx context.Context, own *part, q wire.Ask, p wire.Part) wire.Result {
+	deadline := k.clock.Now().Add(q.Left)
 	g, f := k.gate(q.Service, p.Target)
 	if f != nil {
-		return wire.Result{Fault: f}
+		return k.moved(q.Service, f)
 	}
-	deadline := k.clock.Now().Add(q.Left)
 	pass, err := g.enter(ctx, q.Class, deadline)
 	if err != nil {
 		return wire.Result{Fault: fault.Of(err)}
 	}
-	pass.id = q.ID + "/" + p.Target
+	pass.id = own.id
 	ctx, cancel := k.clock.WithTimeout(ctx, pass.left())
 	defer cancel()
-	start := k.clock.Now()
+	own.client.Store(g.client)
 	reply, err := g.client.Query(ctx, target.Query{
-		ID:       pass.id,
+		ID:       own.id,
 		Service:  q.Service,
 		Snapshot: q.Snapshot,
 		Shards:   p.Shards,
@@ -116,34 +174,32 @@
 		Deadline: target.Remaining(pass.left()),
 		Payload:  q.Payload,
 	})
-	r := wire.Result{Snapshot: reply.Snapshot, Parts: reply.Parts, Took: k.clock.Since(start)}
 	if err == nil {
 		pass.done(reply.State, nil)
 	} else {
 		pass.done(stateOf(err), err)
-		r.Fault = faultOf(p.Target, err)
-		var refusal *target.Refusal
-		if errors.As(err, &refusal) {
-			r.Newest = refusal.Newest
-		}
 	}
-	return r
+	return resultOf(p.Target, reply, err)
 }
 
-func (a *ask) add(r wire.Result) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.results = append(a.results, r)
-	a.left--
-	if a.left == 0 {
-		close(a.done)
+// moved tells with the refusal the newest map that this host knows, by which the target may have gone.
+func (k *Keeper) moved(service string, f *fault.Error) wire.Result {
+	r := wire.Result{Fault: f}
+	if m := k.board.Map(service); m != nil {
+		r.Newest = m.Snapshot()
 	}
+	return r
 }
 
-func (a *ask) take() wire.AskReply {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	r := wire.AskReply{Results: a.results, Pending: a.left > 0}
-	a.results = nil
+func resultOf(name string, reply target.Reply, err error) wire.Result {
+	r := wire.Result{Snapshot: reply.Snapshot, Parts: reply.Parts}
+	if err == nil {
+		return r
+	}
+	r.Fault = faultOf(name, err)
+	var refusal *target.Refusal
+	if errors.As(err, &refusal) {
+		r.Newest = refusal.Newest
+	}
 	return r
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -21,6 +21,8 @@
 	scope tally.Scope
 	// choice names the keepers of all targets.
 	choice *chooser
+	// reuse lets an Ask take an id that is in use; it is set in tests only, to show what the check prevents.
+	reuse bool
 
 	mu    sync.Mutex
 	gates map[string]*gate
--- a/keeper/remote.go
+++ b/keeper/remote.go
@@ -65,8 +65,11 @@
 	if m.Name == l.self {
 		return l.own.Ask(ctx, q), nil
 	}
-	err = l.dialer.Call(ctx, m.Peers, Remote+".Ask", q, &r)
-	return r, err
+	if err := l.dialer.Call(ctx, m.Peers, Remote+".Ask", q, &r); err != nil {
+		// A late reply may still be written to r.
+		return wire.AskReply{}, err
+	}
+	return r, nil
 }
 
 // Rest asks the keeper m for the parts that were not done.
@@ -74,8 +77,10 @@
 	if m.Name == l.self {
 		return l.own.Rest(ctx, q), nil
 	}
-	err = l.dialer.Call(ctx, m.Peers, Remote+".Rest", q, &r)
-	return r, err
+	if err := l.dialer.Call(ctx, m.Peers, Remote+".Rest", q, &r); err != nil {
+		return wire.AskReply{}, err
+	}
+	return r, nil
 }
 
 // Drop cancels parts at the keeper m.
--- a/query/engine.go
+++ b/query/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,36 +13,75 @@
 	"kingcupcross/board"
 	"kingcupcross/fault"
 	"kingcupcross/keeper"
-	"kingcupcross/shard"
 	"kingcupcross/timer"
+	"kingcupcross/tree"
 	"kingcupcross/wire"
 )
 
 // Engine runs queries.
 type Engine struct {
-	clock *timer.Service
-	board *board.Board
-	links *keeper.Links
-	log   *zap.Logger
-	scope tally.Scope
-	asks  atomic.Uint64
+	clock    *timer.Service
+	board    *board.Board
+	log      *zap.Logger
+	scope    tally.Scope
+	asks     atomic.Uint64
+	services sync.Map
+	guards   guards
+	policy   Policy
+
+	// The calls to keepers and the table of keepers are seams for tests.
+	ask   func(context.Context, wire.Member, wire.Ask) (wire.AskReply, error)
+	rest  func(context.Context, wire.Member, wire.Rest) (wire.AskReply, error)
+	drop  func(context.Context, wire.Member, wire.Drop) error
+	table func() func(target string) (wire.Member, bool)
+	// name gives each Ask its id; matches says whether a reply's id fits the Ask's.
+	name    func(Request) string
+	matches func(asked, got string) bool
+}
+
+// Policy switches off parts of the engine, for baselines that the whole is compared with.
+type Policy struct {
+	// NoHedges sends no hedges.
+	NoHedges bool
+	// NoChoice keeps to each shard's first replica whatever its latency.
+	NoChoice bool
 }
 
 // New returns an engine that plans by the board and asks through links.
 func New(clock *timer.Service, b *board.Board, links *keeper.Links, log *zap.Logger, scope tally.Scope) *Engine {
-	return &Engine{
-		clock: clock,
-		board: b,
-		links: links,
-		log:   log,
-		scope: scope,
+	e := &Engine{
+		clock:   clock,
+		board:   b,
+		log:     log,
+		scope:   scope,
+		guards:  newGuards(),
+		ask:     links.Ask,
+		rest:    links.Rest,
+		drop:    links.Drop,
+		table:   func() func(string) (wire.Member, bool) { return links.Table().Keeper },
+		matches: func(asked, got string) bool { return asked == got },
 	}
+	e.name = e.nextID
+	return e
+}
+
+// SetPolicy replaces the policy; it is to be called before the first query.
+func (e *Engine) SetPolicy(p Policy) {
+	e.policy = p
+}
+
+// nextID names an Ask by this host's incarnation and a number of its own, so that no two Asks of all hosts share an id.
+func (e *Engine) nextID(Request) string {
+	return fmt.Sprintf("%s/q%d", e.board.Self.HostID, e.asks.Add(1))
 }
 
-// outcome is what one target answered, with the shards that it was asked for.
-type outcome struct {
-	asked  []int
-	result wire.Result
+// service returns what is known of a service here.
+func (e *Engine) service(name string) *service {
+	if s, known := e.services.Load(name); known {
+		return s.(*service)
+	}
+	s, _ := e.services.LoadOrStore(name, newService(e.clock.Now()))
+	return s.(*service)
 }
 
 // Run answers one query within its deadline; the error is a fault.Error.
@@ -61,80 +101,28 @@
 	}
 	ctx, cancel := e.clock.WithTimeout(ctx, left)
 	defer cancel()
-	a := e.fanOut(ctx, r, m, e.clock.Now().Add(left))
+	q := newRun(e, r, values, left, wanted)
+	a := q.answer(ctx, m)
+	e.count(a)
 	if a.Coverage() < wanted {
 		return nil, fault.New(fault.Coverage, "%d of %d shards answered, %.3f wanted", len(a.Parts), a.Total, wanted)
 	}
 	return a, nil
 }
 
-func (e *Engine) fanOut(ctx context.Context, r Request, m *shard.Map, deadline time.Time) *Answer {
-	merged := newMerge(m)
-	tried := map[int]map[int]bool{}
-	shards := make([]int, len(m.Shards))
-	for s := range shards {
-		shards[s] = s
-	}
-	outcomes := make(chan outcome, 2*len(m.Targets)*len(m.Targets))
-	open := 0
-	send := func(shards []int) {
-		batches, lost := e.plan(m, shards, tried)
-		for _, s := range lost {
-			if _, known := merged.reasons[s]; !known {
-				merged.reasons[s] = "no replica can be reached"
-			}
-		}
-		for _, b := range batches {
-			open += len(b.parts)
-			go e.ask(ctx, r, m.Snapshot(), b, deadline, outcomes)
-		}
-	}
-	send(shards)
-	for open > 0 && !merged.complete() {
-		select {
-		case o := <-outcomes:
-			open--
-			if again := merged.add(o.asked, o.result); len(again) > 0 {
-				send(again)
-			}
-		case <-ctx.Done():
-			return merged.answer()
-		}
-	}
-	return merged.answer()
+func (e *Engine) count(a *Answer) {
+	e.scope.Counter("queries").Inc(1)
+	e.scope.Counter("first").Inc(int64(a.Load.First))
+	e.scope.Counter("hedges").Inc(int64(a.Load.Hedges))
+	e.scope.Counter("retries").Inc(int64(a.Load.Retries))
+	e.scope.Counter("replans").Inc(int64(a.Load.Replans))
+	e.scope.Counter("missing").Inc(int64(len(a.Missing)))
 }
 
-// ask calls one keeper and reports an outcome for each of the batch's parts.
-func (e *Engine) ask(ctx context.Context, r Request, s shard.Snapshot, b batch, deadline time.Time, out chan<- outcome) {
-	asked := make(map[string][]int, len(b.parts))
-	for _, p := range b.parts {
-		asked[p.Target] = p.Shards
-	}
-	left := deadline.Sub(e.clock.Now())
-	q := wire.Ask{
-		ID:       fmt.Sprintf("%s/%d", r.ID, e.asks.Add(1)),
-		From:     e.board.Self.HostID,
-		Service:  r.Service,
-		Snapshot: s,
-		Class:    r.Class,
-		Left:     left,
-		Soft:     left,
-		Payload:  r.Payload,
-		Parts:    b.parts,
-	}
-	reply, err := e.links.Ask(ctx, b.keeper, q)
-	if err != nil {
-		reply.Fault = fault.New(fault.NoReplica, "keeper %s: %v", b.keeper.Name, err)
-	}
-	for _, result := range reply.Results {
-		out <- outcome{asked: asked[result.Target], result: result}
-		delete(asked, result.Target)
-	}
-	for name, shards := range asked {
-		f := reply.Fault
-		if f == nil {
-			f = fault.New(fault.TooLate, "no reply of %s before the deadline", name)
-		}
-		out <- outcome{asked: shards, result: wire.Result{Target: name, Fault: f}}
+// tailOf returns the time at which an answer goes out with what has come, for a service that prefers latency.
+func tailOf(v *tree.Values, left time.Duration) time.Duration {
+	if v.Prefer == tree.PreferLatency {
+		return min(v.Tail.D(), left)
 	}
+	return left
 }
--- /dev/null
+++ b/query/hedge.go
@@ -0,0 +1,73 @@
+package query
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"kingcupcross/fault"
+)
+
+const (
+	// graceShare is the part of the delay by which a keeper's reply may lag before the keeper itself counts as late.
+	graceShare = 2
+	// againShare is the part of the delay after which a hedge is tried again that the budget denied.
+	againShare = 2
+)
+
+// tick hedges what is late, asks again for what the budget denied, and sets the next alarm.
+func (a *attempt) tick(ctx context.Context) {
+	if denied := a.denied; len(denied) > 0 {
+		a.denied = nil
+		a.send(ctx, denied, paidRetry)
+	}
+	if !a.engine.policy.NoHedges && a.values.Hedge < 1 {
+		a.hedge(ctx)
+	}
+	a.arm(max(a.delay/againShare, shortestDelay))
+}
+
+// hedge asks another replica for the shards of the flights that are late; a hedge itself may be hedged where a further replica is left.
+func (a *attempt) hedge(ctx context.Context) {
+	now := a.engine.clock.Now()
+	var shards []int
+	for _, c := range a.calls {
+		if !c.late && now.Sub(c.sent) < a.delay+a.delay/graceShare {
+			continue
+		}
+		for _, f := range c.flights {
+			if !f.ended {
+				shards = append(shards, a.hedgeable(f)...)
+			}
+		}
+	}
+	slices.Sort(shards)
+	a.send(ctx, slices.Compact(shards), hedge)
+}
+
+// hedgeable returns the shards that only this flight can bring and that have another replica.
+func (a *attempt) hedgeable(f *flight) (shards []int) {
+	p := a.planner(a.m)
+	for _, s := range f.shards {
+		if !a.merge.has(s) && a.pending[s] == 1 && p.replica(s, a.tried[s]) != nil {
+			shards = append(shards, s)
+		}
+	}
+	return shards
+}
+
+// free reports whether a failure means that the target did no work, so that asking another isn't extra load.
+func free(f *fault.Error) bool {
+	return f != nil && f.NotRun() && f.Kind != fault.Overload && f.Kind != fault.TooLate
+}
+
+// arm sets the alarm to ring once after d.
+func (a *attempt) arm(d time.Duration) {
+	a.disarm()
+	a.disarm = a.engine.clock.AfterFunc(d, func() {
+		select {
+		case a.alarm <- struct{}{}:
+		default:
+		}
+	})
+}
--- a/query/merge.go
+++ b/query/merge.go
@@ -2,21 +2,50 @@
 
 import (
 	"kingcupcross/shard"
+	"kingcupcross/target"
 	"kingcupcross/wire"
 )
 
+// guards are the conditions of the merge; tests replace one to show what it prevents.
+type guards struct {
+	// total is the number of shards that coverage is a share of.
+	total func(*shard.Map) int
+	// same says whether a reply's snapshot fits the one that was asked for.
+	same func(asked, got shard.Snapshot) bool
+	// whole says whether a part arrived as it was sent.
+	whole func(target.Part) bool
+	// fresh says whether a part is taken, given whether its shard has answered.
+	fresh func(answered bool) bool
+	// wanted says whether a part is taken, given whether its shard was asked of this target.
+	wanted func(asked bool) bool
+}
+
+func newGuards() guards {
+	return guards{
+		total:  func(m *shard.Map) int { return len(m.Shards) },
+		same:   func(asked, got shard.Snapshot) bool { return asked == got },
+		whole:  target.Part.Whole,
+		fresh:  func(answered bool) bool { return !answered },
+		wanted: func(asked bool) bool { return asked },
+	}
+}
+
 // merge collects the parts of one snapshot; a shard counts once, whatever comes late or twice.
 type merge struct {
+	guards   guards
 	snapshot shard.Snapshot
 	total    int
-	parts    map[int][]byte
-	reasons  map[int]string
+	// count is the number of shards that have answered.
+	count   int
+	parts   map[int][]byte
+	reasons map[int]string
 }
 
-func newMerge(m *shard.Map) *merge {
+func newMerge(m *shard.Map, g guards) *merge {
 	return &merge{
+		guards:   g,
 		snapshot: m.Snapshot(),
-		total:    len(m.Shards),
+		total:    g.total(m),
 		parts:    make(map[int][]byte, len(m.Shards)),
 		reasons:  map[int]string{},
 	}
@@ -24,17 +53,17 @@
 
 // add takes the parts of one result and returns the asked shards that are still without an answer.
 func (m *merge) add(asked []int, r wire.Result) (open []int) {
-	reason := "the target's reply holds no part for the shard"
+	reason := r.Target + " left the shard out of its reply"
 	switch {
 	case r.Fault != nil:
 		reason = r.Fault.Error()
-	case r.Snapshot != m.snapshot:
-		reason = "the target answered from another snapshot"
-	default:
-		m.keep(asked, r)
+	case !m.guards.same(m.snapshot, r.Snapshot):
+		reason = r.Target + " answered from another snapshot"
+	case m.keep(asked, r.Parts) > 0:
+		reason = "checksum of " + r.Target + "'s part is wrong"
 	}
 	for _, s := range asked {
-		if _, done := m.parts[s]; !done {
+		if !m.has(s) {
 			m.reasons[s] = reason
 			open = append(open, s)
 		}
@@ -42,35 +71,47 @@
 	return open
 }
 
-func (m *merge) keep(asked []int, r wire.Result) {
+// keep takes what fits and returns the number of broken parts.
+func (m *merge) keep(asked []int, parts []target.Part) (broken int) {
 	wanted := make(map[int]bool, len(asked))
 	for _, s := range asked {
 		wanted[s] = true
 	}
-	for _, p := range r.Parts {
-		if _, done := m.parts[p.Shard]; done || !wanted[p.Shard] || !p.Whole() {
+	for _, p := range parts {
+		if !m.guards.wanted(wanted[p.Shard]) || !m.guards.fresh(m.has(p.Shard)) {
+			continue
+		}
+		if !m.guards.whole(p) {
+			broken++
 			continue
 		}
 		m.parts[p.Shard] = p.Payload
+		m.count++
 	}
+	return broken
+}
+
+func (m *merge) has(s int) bool {
+	_, done := m.parts[s]
+	return done
 }
 
 func (m *merge) complete() bool {
-	return len(m.parts) == m.total
+	return m.count >= m.total
 }
 
-// answer labels what has come; shards without a reason were never answered in time.
-func (m *merge) answer() *Answer {
+// answer labels what has come; a shard without a reason gets the given one.
+func (m *merge) answer(reason string) *Answer {
 	a := &Answer{Snapshot: m.snapshot, Total: m.total, Parts: m.parts}
 	for s := range m.total {
-		if _, done := m.parts[s]; done {
+		if m.has(s) {
 			continue
 		}
-		reason, known := m.reasons[s]
-		if !known {
-			reason = "no reply before the deadline"
+		known, found := m.reasons[s]
+		if !found {
+			known = reason
 		}
-		a.Missing = append(a.Missing, Missing{Shard: s, Reason: reason})
+		a.Missing = append(a.Missing, Missing{Shard: s, Reason: known})
 	}
 	return a
 }
--- a/query/plan.go
+++ b/query/plan.go
@@ -1,69 +1,114 @@
 package query
 
 import (
-	"kingcupcross/keeper"
+	"time"
+
 	"kingcupcross/shard"
 	"kingcupcross/wire"
 )
 
-// batch is what one keeper is asked for.
-type batch struct {
+// slowRatio is how many times slower a preferred replica must be before another takes its place.
+const slowRatio = 2
+
+// try is one replica that a shard was asked of, with the keeper that it went through.
+type try struct {
+	target int
+	keeper wire.HostID
+}
+
+// candidate is a replica that can be asked.
+type candidate struct {
+	target int
 	keeper wire.Member
-	parts  []wire.Part
+	rank   int
 }
 
-// plan assigns shards to replicas that were not tried before and groups them by keeper.
-func (e *Engine) plan(m *shard.Map, shards []int, tried map[int]map[int]bool) (batches []batch, lost []int) {
-	table := e.links.Table()
-	chosen := map[int][]int{}
-	for _, s := range shards {
-		t, found := e.replica(m, table, s, tried[s])
-		if !found {
-			lost = append(lost, s)
-			continue
-		}
-		if tried[s] == nil {
-			tried[s] = map[int]bool{}
-		}
-		tried[s][t] = true
-		chosen[t] = append(chosen[t], s)
+// planner chooses replicas on one map and one table of keepers.
+type planner struct {
+	engine  *Engine
+	service *service
+	m       *shard.Map
+	now     time.Time
+	keeper  func(target string) (wire.Member, bool)
+	// ways holds the candidate of each target once it was looked up.
+	ways map[int]*candidate
+}
+
+func (r *run) planner(m *shard.Map) *planner {
+	return &planner{
+		engine:  r.engine,
+		service: r.service,
+		m:       m,
+		now:     r.engine.clock.Now(),
+		keeper:  r.engine.table(),
+		ways:    make(map[int]*candidate, len(m.Targets)),
 	}
-	return group(m, table, chosen), lost
 }
 
-// replica prefers this host's data centre and then spreads over the replicas by shard.
-func (e *Engine) replica(m *shard.Map, table *keeper.Table, s int, tried map[int]bool) (int, bool) {
-	replicas := m.Shards[s]
-	best, found := 0, false
+// Ranks of replicas: the nearer, the better.
+const (
+	ownDatacentre = iota
+	ownRegion
+	elsewhere
+)
+
+// way returns how a target is reached, or nil where it can't or mustn't be.
+func (p *planner) way(t int) *candidate {
+	if c, known := p.ways[t]; known {
+		return c
+	}
+	p.ways[t] = p.lookUp(t)
+	return p.ways[t]
+}
+
+func (p *planner) lookUp(t int) *candidate {
+	target := p.m.Targets[t]
+	k, found := p.keeper(target.Name)
+	if !found || p.engine.board.Tree.Load().Out(k.Region, target.Datacentre) {
+		return nil
+	}
+	self := p.engine.board.Self
+	c := &candidate{target: t, keeper: k, rank: elsewhere}
+	switch {
+	case target.Datacentre == self.Datacentre:
+		c.rank = ownDatacentre
+	case k.Region == self.Region:
+		c.rank = ownRegion
+	}
+	return c
+}
+
+// replica chooses among the replicas of shard s that weren't tried: the nearest, unless another is known to be much faster; equals take turns by shard.
+func (p *planner) replica(s int, tried []try) *candidate {
+	replicas := p.m.Shards[s]
+	var first, second *candidate
 	for i := range replicas {
-		t := replicas[(s+i)%len(replicas)]
-		if tried[t] || !e.usable(table, m.Targets[t]) {
-			continue
-		}
-		if !found || (m.Targets[t].Datacentre == e.board.Self.Datacentre && m.Targets[best].Datacentre != e.board.Self.Datacentre) {
-			best, found = t, true
+		c := p.way(replicas[(s+i)%len(replicas)])
+		switch {
+		case c == nil || wasTried(tried, c):
+		case first == nil || c.rank < first.rank:
+			first, second = c, first
+		case second == nil:
+			second = c
 		}
 	}
-	return best, found
+	if second != nil && !p.engine.policy.NoChoice && p.score(first) > slowRatio*p.score(second) {
+		return second
+	}
+	return first
 }
 
-func (e *Engine) usable(table *keeper.Table, t shard.Target) bool {
-	k, found := table.Keeper(t.Name)
-	return found && !e.board.Tree.Load().Out(k.Region, t.Datacentre)
+func (p *planner) score(c *candidate) time.Duration {
+	t := p.m.Targets[c.target]
+	return p.service.score(p.now, t.Name, t.Datacentre)
 }
 
-func group(m *shard.Map, table *keeper.Table, chosen map[int][]int) []batch {
-	byKeeper := map[string]int{}
-	var batches []batch
-	for t, shards := range chosen {
-		k, _ := table.Keeper(m.Targets[t].Name)
-		i, known := byKeeper[k.Name]
-		if !known {
-			i = len(batches)
-			byKeeper[k.Name] = i
-			batches = append(batches, batch{keeper: k})
+// wasTried takes a target as untried when it has another keeper by now.
+func wasTried(tried []try, c *candidate) bool {
+	for _, t := range tried {
+		if t.target == c.target && t.keeper == c.keeper.HostID {
+			return true
 		}
-		batches[i].parts = append(batches[i].parts, wire.Part{Target: m.Targets[t].Name, Shards: shards})
 	}
-	return batches
+	return false
 }
--- a/query/types.go
+++ b/query/types.go
@@ -25,6 +25,35 @@
 	Reason string
 }
 
+// Load counts the sub-requests of one query; each asks one target for some shards.
+type Load struct {
+	// First counts those of the first plan; the others were sent on top.
+	First     int
+	Hedges    int
+	Retries   int
+	Replanned int
+	// Replans is the number of times that the query was planned anew on a newer snapshot.
+	Replans int
+}
+
+func (l *Load) add(n int, why purpose, replanned bool) {
+	switch {
+	case why == hedge:
+		l.Hedges += n
+	case why != first:
+		l.Retries += n
+	case replanned:
+		l.Replanned += n
+	default:
+		l.First += n
+	}
+}
+
+// Extra returns the number of sub-requests on top of the first plan.
+func (l *Load) Extra() int {
+	return l.Hedges + l.Retries + l.Replanned
+}
+
 // Answer is the outcome of a query, all of one snapshot.
 type Answer struct {
 	Snapshot shard.Snapshot
@@ -34,6 +63,8 @@
 	Parts map[int][]byte
 	// Missing lists the other shards, in order.
 	Missing []Missing
+	// Load is what the query cost the targets.
+	Load Load
 }
 
 // Coverage returns the share of shards that answered.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -55,6 +55,13 @@
 	return o == nil || o.Snapshot().Less(m.Snapshot())
 }
 
+// At returns the map for another index version of the same partition.
+func (m *Map) At(index uint64) *Map {
+	c := *m
+	c.Index = index
+	return &c
+}
+
 // Target returns the target of that name, or nil.
 func (m *Map) Target(name string) *Target {
 	for i := range m.Targets {
--- a/wire/query.go
+++ b/wire/query.go
@@ -47,19 +47,21 @@
 	Newest shard.Snapshot
 	Parts  []target.Part
 	Fault  *fault.Error
-	// Took is the time from sending to the reply at the keeper.
+	// Took is the time from the Ask's arrival at the keeper to the target's reply.
 	Took time.Duration
 }
 
 // AskReply answers Ask and Rest.
 type AskReply struct {
+	// ID is that of the Ask.
+	ID      string
 	Results []Result
 	// Pending says that parts are under way that Rest will bring.
 	Pending bool
 	Fault   *fault.Error
 }
 
-// Rest asks for the parts of an earlier Ask that were not done.
+// Rest asks for the parts of an earlier Ask that were not done; the keeper answers as soon as one of them is.
 type Rest struct {
 	ID string
 }
