--- a/query/attempt.go
+++ b/query/attempt.go
@@ -101,8 +101,9 @@
 // loop returns the reason for the shards that nothing else is known of.
 func (a *attempt) loop(ctx context.Context) string {
 	tail := make(chan struct{})
-	due := a.tail.Sub(a.engine.clock.Now())
-	defer a.engine.clock.AfterFunc(due, func() { close(tail) })()
+	if a.tail.Before(a.deadline) {
+		defer a.engine.clock.AfterFunc(a.tail.Sub(a.engine.clock.Now()), func() { close(tail) })()
+	}
 	passed := false
 	for !a.settled() {
 		if passed && a.enough() {
@@ -153,7 +154,7 @@
 	if a.merge.complete() || (a.open == 0 && len(a.denied) == 0) {
 		return true
 	}
-	return a.stuck && len(a.planned) < maxPlans && a.newer(a.m, a.hints) != nil
+	return a.stuck && len(a.planned) < a.engine.plans && a.newer(a.m, a.hints) != nil
 }
 
 // take handles one reply of a keeper.
--- a/query/engine.go
+++ b/query/engine.go
@@ -37,6 +37,8 @@
 	// name gives each Ask its id; matches says whether a reply's id fits the Ask's.
 	name    func(Request) string
 	matches func(asked, got string) bool
+	// plans bounds how often one query is planned.
+	plans int
 }
 
 // Policy switches off parts of the engine, for baselines that the whole is compared with.
@@ -59,6 +61,7 @@
 		rest:    links.Rest,
 		drop:    links.Drop,
 		table:   func() func(string) (wire.Member, bool) { return links.Table().Keeper },
+		plans:   maxPlans,
 		matches: func(asked, got string) bool { return asked == got },
 	}
 	e.name = e.nextID
--- a/query/merge.go
+++ b/query/merge.go
@@ -18,6 +18,8 @@
 	fresh func(answered bool) bool
 	// wanted says whether a part is taken, given whether its shard was asked of this target.
 	wanted func(asked bool) bool
+	// left returns those of the asked shards that are without an answer after a reply.
+	left func(asked []int, answered func(int) bool) []int
 }
 
 func newGuards() guards {
@@ -27,9 +29,19 @@
 		whole:  target.Part.Whole,
 		fresh:  func(answered bool) bool { return !answered },
 		wanted: func(asked bool) bool { return asked },
+		left:   without,
 	}
 }
 
+func without(asked []int, answered func(int) bool) (open []int) {
+	for _, s := range asked {
+		if !answered(s) {
+			open = append(open, s)
+		}
+	}
+	return open
+}
+
 // merge collects the parts of one snapshot; a shard counts once, whatever comes late or twice.
 type merge struct {
 	guards   guards
@@ -62,11 +74,9 @@
 	case m.keep(asked, r.Parts) > 0:
 		reason = "checksum of " + r.Target + "'s part is wrong"
 	}
-	for _, s := range asked {
-		if !m.has(s) {
-			m.reasons[s] = reason
-			open = append(open, s)
-		}
+	open = m.guards.left(asked, m.has)
+	for _, s := range open {
+		m.reasons[s] = reason
 	}
 	return open
 }
--- a/query/replan.go
+++ b/query/replan.go
@@ -8,7 +8,7 @@
 	"kingcupcross/tree"
 )
 
-// maxPlans bounds how often one query is planned.
+// maxPlans is the bound on how often one query is planned.
 const maxPlans = 4
 
 // run is one query under way, over all its plans.
@@ -52,7 +52,7 @@
 		if best == nil || got.Coverage() > best.Coverage() {
 			best = got
 		}
-		if !a.stuck || len(r.planned) == maxPlans || r.over(ctx, best) {
+		if !a.stuck || len(r.planned) == r.engine.plans || r.over(ctx, best) {
 			break
 		}
 		if m = r.next(ctx, m, a.hints); m != nil {
