--- a/keeper/ask_test.go
+++ b/keeper/ask_test.go
@@ -104,7 +104,7 @@
 		Service:  askService,
 		Snapshot: shard.Snapshot{Map: 1, Index: 1},
 		Left:     time.Minute,
-		Soft:     time.Second,
+		Soft:     board.PulseLimit / 2,
 		Payload:  []byte(payload),
 		Parts:    []wire.Part{{Target: "fast", Shards: []int{0}}, {Target: "slow", Shards: []int{1}}},
 	}
@@ -118,6 +118,7 @@
 	<-slow.began
 	<-k.find(q.ID).parts["fast"].ended.Done()
 	manual.Advance(q.Soft)
+	k.board.Pulse.Beat()
 	return <-replies
 }
 
