--- a/query/explain.go
+++ b/query/explain.go
@@ -19,10 +19,13 @@
 		Snapshot: m.Snapshot(),
 		Change:   e.board.Tree.Load().N,
 	}
-	table := e.links.Table()
+	p := e.planner(e.service(service), m)
 	for s := range m.Shards {
-		chosen, found := e.replica(m, table, s, nil)
-		x.Shards = append(x.Shards, e.explainShard(m, table.Keeper, s, chosen, found))
+		chosen, found := -1, false
+		if c := p.replica(s, nil); c != nil {
+			chosen, found = c.target, true
+		}
+		x.Shards = append(x.Shards, e.explainShard(m, p.keeper, s, chosen, found))
 	}
 	return x, nil
 }
--- a/query/hedge.go
+++ b/query/hedge.go
@@ -47,7 +47,7 @@
 
 // hedgeable returns the shards that only this flight can bring and that have another replica.
 func (a *attempt) hedgeable(f *flight) (shards []int) {
-	p := a.planner(a.m)
+	p := a.engine.planner(a.service, a.m)
 	for _, s := range f.shards {
 		if !a.merge.has(s) && a.pending[s] == 1 && p.replica(s, a.tried[s]) != nil {
 			shards = append(shards, s)
--- a/query/plan.go
+++ b/query/plan.go
@@ -34,13 +34,13 @@
 	ways map[int]*candidate
 }
 
-func (r *run) planner(m *shard.Map) *planner {
+func (e *Engine) planner(s *service, m *shard.Map) *planner {
 	return &planner{
-		engine:  r.engine,
-		service: r.service,
+		engine:  e,
+		service: s,
 		m:       m,
-		now:     r.engine.clock.Now(),
-		keeper:  r.engine.table(),
+		now:     e.clock.Now(),
+		keeper:  e.table(),
 		ways:    make(map[int]*candidate, len(m.Targets)),
 	}
 }
--- a/query/send.go
+++ b/query/send.go
@@ -17,7 +17,7 @@
 	if len(shards) == 0 {
 		return
 	}
-	p := a.planner(a.m)
+	p := a.engine.planner(a.service, a.m)
 	chosen := map[int][]int{}
 	for _, s := range shards {
 		c := p.replica(s, a.tried[s])
--- a/query/straggler_test.go
+++ b/query/straggler_test.go
@@ -164,8 +164,7 @@
 			s.learn(now, []wire.Result{{Target: "t0", Took: 5 * time.Millisecond}, {Target: "t1", Took: 5 * time.Millisecond}}, time.Second)
 		}
 		chosen := func() int {
-			r := newRun(b.Engine, Request{Service: service1}, b.Engine.board.Tree.Load().For("jylland", service1), time.Second, 0)
-			return r.planner(testMap(1, 1, shardCount)).replica(0, nil).target
+			return b.planner(s, testMap(1, 1, shardCount)).replica(0, nil).target
 		}
 		require.Equal(t, 0, chosen())
 		s.lost(now, "t0", 20*time.Millisecond)
