keeper: one keeper at a time over kills, pauses, cuts and differing views

A host keeps a target only once every other host of its data centre has given it up, has proved to have ended, or has been silent for the fencing time. The last keeper hands over the times that its requests may still run, and what it learned. Where hosts are silent without proof, each side of the cut uses its part of the limit only; a host that comes back is asked again before it counts. The limit of a target falls at once when its process changes, it sheds, a request fails or a reply is overdue, and rises with successes. A sign of leaving sticks until another process is seen, and goes to the other hosts.

--- a/apiv1/operators.go
+++ b/apiv1/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"kingcupcross/shard"
+	"kingcupcross/target"
 	"kingcupcross/wire"
 )
 
@@ -16,8 +17,15 @@
 // Kept is the state of one target at its keeper.
 type Kept struct {
 	Target shard.Target `json:"target"`
-	Busy   int          `json:"busy"`
-	Limit  int          `json:"limit"`
+	// Hold is the host's right to the target: claiming or held.
+	Hold string `json:"hold"`
+	// Busy is the number of requests that run or may run, Limit the number that may, and Queue that of those that wait.
+	Busy  int `json:"busy"`
+	Limit int `json:"limit"`
+	Queue int `json:"queue"`
+	// Phase is what the target last said of itself, and Why the reason of the limit.
+	Phase target.Phase `json:"phase"`
+	Why   string       `json:"why"`
 }
 
 // Peer is one host as the answering host sees it.
--- a/emul/target.go
+++ b/emul/target.go
@@ -56,6 +56,8 @@
 	Hang bool `json:"hang"`
 	// Lie makes the state endpoint say warm and idle whatever the truth.
 	Lie bool `json:"lie"`
+	// Lag makes the state endpoint answer with what was true that long ago.
+	Lag units.Duration `json:"lag"`
 	// ResetOrders runs orders but resets the connection before the reply.
 	ResetOrders bool `json:"resetorders"`
 }
@@ -73,16 +75,28 @@
 	busy    int
 	peak    int
 	excess  int
-	faults  TargetFaults
+	late    int
+	// past holds what the state endpoint said after each change, for a lagging one.
+	past   []pastState
+	faults TargetFaults
 	// running holds the cancel functions of sub-requests by id.
 	running map[string]context.CancelFunc
 	// runs counts how often each order ran, by its id.
 	runs map[string]int
 }
 
+// pastState is a state with the time from which it was true.
+type pastState struct {
+	since time.Time
+	state target.State
+}
+
+// maxPast is the number of past states that a target remembers.
+const maxPast = 256
+
 // NewTarget returns a target in cold start.
 func NewTarget(clock *timer.Service, s TargetSettings) *Target {
-	return &Target{
+	t := &Target{
 		settings: s,
 		clock:    clock,
 		random:   rand.New(rand.NewPCG(s.Seed, xxhash.Sum64String(s.Name))),
@@ -90,6 +104,8 @@
 		running:  map[string]context.CancelFunc{},
 		runs:     map[string]int{},
 	}
+	t.remember()
+	return t
 }
 
 // Witness is what a target has seen of the work sent to it.
@@ -98,6 +114,8 @@
 	Peak int `json:"peak"`
 	// Excess is the number of requests that came while the target bore no more.
 	Excess int `json:"excess"`
+	// Late is the number of requests that came while the target was leaving.
+	Late int `json:"late"`
 	// Served is the number of requests since the process start.
 	Served int `json:"served"`
 	// Runs counts how often each order ran.
@@ -111,6 +129,7 @@
 	w := Witness{
 		Peak:   t.peak,
 		Excess: t.excess,
+		Late:   t.late,
 		Served: t.served,
 		Runs:   make(map[string]int, len(t.runs)),
 	}
@@ -134,6 +153,7 @@
 	t.process++
 	t.served = 0
 	t.leaving = false
+	t.remember()
 }
 
 // Leave makes the target drain: it finishes what it has and refuses new work.
@@ -141,6 +161,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaving = true
+	t.remember()
 }
 
 // SetHoldings replaces what the target holds.
@@ -199,7 +220,7 @@
 
 func (t *Target) stateOf(w http.ResponseWriter, _ *http.Request) {
 	t.mu.Lock()
-	s := t.state()
+	s := t.lagging()
 	if t.faults.Lie {
 		s.Phase, s.Limit, s.Busy = target.Warm, t.settings.Slots, 0
 	}
@@ -207,12 +228,34 @@
 	reply(w, http.StatusOK, s)
 }
 
-// begin takes a slot; the refusal is nil where the work may begin.
-func (t *Target) begin() *target.Refusal {
+// remember notes the state for a lagging endpoint; the lock is held.
+func (t *Target) remember() {
+	t.past = append(t.past, pastState{since: t.clock.Now(), state: t.state()})
+	t.past = t.past[max(len(t.past)-maxPast, 0):]
+}
+
+// lagging returns the state as the endpoint tells it; the lock is held.
+func (t *Target) lagging() target.State {
+	s := t.state()
+	if t.faults.Lag == 0 {
+		return s
+	}
+	at := t.clock.Now().Add(-t.faults.Lag.D())
+	for _, p := range t.past {
+		if !p.since.After(at) {
+			s = p.state
+		}
+	}
+	return s
+}
+
+// Begin takes a slot, as a request does that comes in; the refusal is nil where the work may begin.
+func (t *Target) Begin() *target.Refusal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state()
 	if t.leaving {
+		t.late++
 		return &target.Refusal{Reason: target.Left, State: s}
 	}
 	if t.busy >= s.Limit {
@@ -221,14 +264,19 @@
 	}
 	t.busy++
 	t.peak = max(t.peak, t.busy)
+	t.remember()
 	return nil
 }
 
-func (t *Target) end() {
+// End gives a slot back and returns the state of which the reply tells.
+func (t *Target) End() target.State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := t.state()
 	t.busy--
 	t.served++
+	t.remember()
+	return s
 }
 
 // work takes the request's time and fails when the request is given up.
@@ -262,11 +310,11 @@
 		refuse(w, *refusal)
 		return
 	}
-	if refusal := t.begin(); refusal != nil {
+	if refusal := t.Begin(); refusal != nil {
 		refuse(w, *refusal)
 		return
 	}
-	defer t.end()
+	defer t.End()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer t.track(q.ID, cancel)()
 	if err := t.work(ctx, q.Deadline.D()); err != nil {
@@ -361,11 +409,11 @@
 		refuse(w, target.Refusal{Reason: target.Bad})
 		return
 	}
-	if refusal := t.begin(); refusal != nil {
+	if refusal := t.Begin(); refusal != nil {
 		refuse(w, *refusal)
 		return
 	}
-	defer t.end()
+	defer t.End()
 	t.mu.Lock()
 	t.runs[o.ID]++
 	run := t.runs[o.ID]
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -3,36 +3,72 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"sync"
 	"time"
 
 	"kingcupcross/fault"
 	"kingcupcross/shard"
 	"kingcupcross/target"
-	"kingcupcross/timer"
+	"kingcupcross/tree"
 	"kingcupcross/wire"
 )
 
-// gate admits work to one target.
+// hold is the right of this host to send to a target.
+type hold uint8
+
+// Rights to a target.
+const (
+	// idle is no right.
+	idle hold = iota
+	// claiming is no right yet: other hosts are asked to give theirs up.
+	claiming
+	// held is the right to send.
+	held
+)
+
+// gate admits work to one target, so that no more runs there than it bears.
 type gate struct {
+	keeper  *Keeper
+	service string
+	name    string
+
+	mu     sync.Mutex
 	target shard.Target
 	client *target.Client
-	clock  *timer.Service
-	awake  func() bool
-	slots  chan struct{}
+	hold   hold
+	claim  *claim
+	// pauses is the number of pauses of this process when the right was asked for; a later pause ends it.
+	pauses uint64
+	// handed is until when it counts that the last keeper gave its right and its counts to this host.
+	handed time.Time
+	// retry is when a refused claim may be made again.
+	retry time.Time
+	// heir is the attempt to which this host gave its right last.
+	heir   heir
+	flying []*pass
+	ghosts []ghost
+	queue  queue
+	ramp   ramp
+	// heard counts the replies and refusals.
+	heard uint64
+	// quiet is until when the target's shedding keeps new work away.
+	quiet time.Time
+	// witnessed is when the target last told of more work than this host's own.
+	witnessed time.Time
 }
 
-func newGate(clock *timer.Service, t shard.Target, awake func() bool) *gate {
-	return &gate{
-		target: t,
-		client: target.NewClient(t.Address, t.Conns),
-		clock:  clock,
-		awake:  awake,
-		slots:  make(chan struct{}, t.Slots),
-	}
+// heir names one claim of one run of a host.
+type heir struct {
+	host  wire.HostID
+	claim uint64
 }
 
-// flightLimit bounds the time that a sub-request may run at a target.
-const flightLimit = 2 * time.Second
+// ghost is a request that may still run at the target although this host waits for no reply of it.
+type ghost struct {
+	id    string
+	until time.Time
+}
 
 // pass is the right to send one request now; it must be given back through done.
 type pass struct {
@@ -41,60 +77,335 @@
 	id string
 	// deadline is when the target may no longer work on the request.
 	deadline time.Time
+	sent     time.Time
+	// most is the largest number of requests of this host at the target while this one ran.
+	most int
 }
 
 // left returns the time that the target may take from now on.
 func (p *pass) left() time.Duration {
-	return max(p.deadline.Sub(p.gate.clock.Now()), 0)
+	return max(p.deadline.Sub(p.gate.keeper.clock.Now()), 0)
 }
 
-// done gives the pass back with what the target said of itself in its reply or refusal, and the error of the exchange.
-func (p *pass) done(_ target.State, _ error) {
-	<-p.gate.slots
+func newGate(k *Keeper, service string, t shard.Target) *gate {
+	g := &gate{keeper: k, service: service, name: t.Name}
+	g.retarget(t)
+	return g
+}
+
+// retarget follows a change of the target's row in the shard map; a new address means a new process.
+func (g *gate) retarget(t shard.Target) {
+	if g.client != nil && g.target.Address == t.Address && g.target.Conns == t.Conns {
+		g.target = t
+		return
+	}
+	if g.client != nil {
+		g.client.Close()
+	}
+	g.target = t
+	g.client = target.NewClient(t.Address, t.Conns)
+	g.client.OnLost(g.lost)
+	g.ramp.restart(g.keeper.clock.Now(), g.cold(target.State{}), "nothing is known of the target")
+}
+
+func (g *gate) settings() *tree.Values {
+	return g.keeper.settings(g.service)
+}
+
+// cold returns what a cold target bears.
+func (g *gate) cold(s target.State) int {
+	return min(g.keeper.policy.cold(g.settings().Cold, s.Limit), g.target.Slots)
 }
 
 // enter waits for room at the target; the request must be sent at once, and the error is a fault.Error.
-func (g *gate) enter(ctx context.Context, _ wire.Class, deadline time.Time) (*pass, error) {
+func (g *gate) enter(ctx context.Context, class wire.Class, deadline time.Time) (*pass, error) {
+	g.mu.Lock()
+	p, w, refusal := g.admitOrWait(class, deadline)
+	g.mu.Unlock()
+	if w != nil {
+		p, refusal = g.await(ctx, w)
+	}
+	if refusal != nil {
+		g.keeper.count.refused(refusal.Kind)
+		return nil, refusal
+	}
+	if !g.keeper.policy.awake() || g.keeper.policy.pauses() != g.pausesNow() {
+		g.giveBack(p)
+		g.keeper.count.refused(fault.Paused)
+		return nil, fault.New(fault.Paused, "this host was paused and hasn't taken %s over again", g.name)
+	}
+	g.keeper.count.admitted.Inc(1)
+	return p, nil
+}
+
+func (g *gate) pausesNow() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pauses
+}
+
+// admitOrWait gives a pass, a place in the queue, or the final refusal; the lock is held.
+func (g *gate) admitOrWait(class wire.Class, deadline time.Time) (*pass, *waiter, *fault.Error) {
+	if f := g.refusal(); f != nil {
+		return nil, nil, f
+	}
+	now := g.keeper.clock.Now()
+	g.doubtOverdue(now)
+	room := g.allowed(now)
+	if room == 0 {
+		return nil, nil, fault.New(fault.NoReplica, "this host's share of %s is none while hosts are cut off", g.name).After(time.Second)
+	}
+	if len(g.queue.waiters) == 0 && g.busy(now) < room && !now.Before(g.quiet) {
+		if f := g.tooLate(now, 0, deadline); f != nil {
+			return nil, nil, f
+		}
+		return g.admit(now, deadline), nil, nil
+	}
+	return g.wait(now, class, deadline)
+}
+
+// wait queues a request, or refuses it or the last one where there is no place for both.
+func (g *gate) wait(now time.Time, class wire.Class, deadline time.Time) (*pass, *waiter, *fault.Error) {
+	w := &waiter{class: class, deadline: deadline, ended: make(chan verdict, 1)}
+	place := g.queue.put(w)
+	if f := g.tooLate(now, place+1, deadline); f != nil {
+		g.queue.remove(w)
+		return nil, nil, f
+	}
+	if limit := g.settings().Queue; len(g.queue.waiters) > limit {
+		last := g.queue.last()
+		g.queue.remove(last)
+		full := fault.New(fault.Overload, "the queue of %s is full", g.name).After(g.drain(now, limit))
+		if last == w {
+			return nil, nil, full
+		}
+		last.ended <- verdict{fault: full}
+	}
+	g.prune(now)
+	g.keeper.count.queued.Inc(1)
+	return nil, w, nil
+}
+
+// await waits for the verdict on a queued request.
+func (g *gate) await(ctx context.Context, w *waiter) (*pass, *fault.Error) {
 	select {
-	case g.slots <- struct{}{}:
+	case v := <-w.ended:
+		return v.pass, v.fault
 	case <-ctx.Done():
-		return nil, fault.New(fault.TooLate, "no slot of %s came free in time", g.target.Name)
 	}
-	if !g.awake() {
-		<-g.slots
-		return nil, fault.New(fault.Paused, "this host was paused")
+	g.mu.Lock()
+	removed := g.queue.remove(w)
+	g.mu.Unlock()
+	if !removed {
+		if v := <-w.ended; v.pass != nil {
+			g.giveBack(v.pass)
+		}
+	}
+	return nil, fault.New(fault.TooLate, "no slot of %s came free in time", g.name)
+}
+
+// refusal returns why no request may go to the target now, or nil; the lock is held.
+func (g *gate) refusal() *fault.Error {
+	switch {
+	case g.hold == claiming:
+		return fault.New(fault.Moved, "%s is being taken over", g.name)
+	case g.hold == idle || g.keeper.stopped.Load():
+		return fault.New(fault.Moved, "%s is not kept here", g.name)
+	case g.ramp.leaving != 0 && g.keeper.policy.sticks:
+		return fault.New(fault.NoReplica, "%s is leaving", g.name).After(time.Second)
+	}
+	return nil
+}
+
+// allowed returns how many requests of all kinds may run at the target by this host; the lock is held.
+func (g *gate) allowed(now time.Time) int {
+	c := g.keeper.census.Load()
+	n := g.keeper.policy.share(min(g.ramp.limit, g.target.Slots), c)
+	if n == 0 && c.isolated(now) && now.Sub(g.witnessed) >= isolationTime {
+		// Nobody answers, and the target has told of no other work: the only living host must not stop.
+		n = 1
+	}
+	return n
+}
+
+// busy returns how many requests run or may run at the target; the lock is held.
+func (g *gate) busy(now time.Time) int {
+	kept := g.ghosts[:0]
+	for _, o := range g.ghosts {
+		if o.until.After(now) {
+			kept = append(kept, o)
+		}
 	}
-	if latest := g.clock.Now().Add(flightLimit); deadline.After(latest) {
+	g.ghosts = kept
+	return len(g.flying) + len(g.ghosts)
+}
+
+func (g *gate) admit(now, deadline time.Time) *pass {
+	if latest := now.Add(flightLimit); deadline.After(latest) {
 		deadline = latest
 	}
-	return &pass{gate: g, deadline: deadline}, nil
+	p := &pass{gate: g, deadline: deadline, sent: now}
+	g.flying = append(g.flying, p)
+	busy := g.busy(now)
+	for _, o := range g.flying {
+		o.most = max(o.most, busy)
+	}
+	return p
 }
 
-// stateOf returns what a target said of itself in a refusal, or the zero state.
-func stateOf(err error) target.State {
+// tooLate returns the final answer of a request that can't be met at its place in the queue.
+func (g *gate) tooLate(now time.Time, place int, deadline time.Time) *fault.Error {
+	wait, mean := time.Duration(0), g.ramp.mean
+	if place > 0 {
+		wait = g.drain(now, place)
+	} else if len(g.flying) == 0 {
+		// A target without work may always show that it has become faster.
+		mean = 0
+	}
+	if now.Add(wait + mean).Before(deadline) {
+		return nil
+	}
+	return fault.New(fault.TooLate, "%s can't answer in time", g.name).After(max(wait, g.ramp.mean))
+}
+
+// drain estimates the time until the first n waiters have been admitted.
+func (g *gate) drain(now time.Time, n int) time.Duration {
+	return max(g.quiet.Sub(now), 0) + g.ramp.mean*time.Duration(n)/time.Duration(max(g.allowed(now), 1))
+}
+
+// prune gives the waiters that can't make their deadlines their final answers; the lock is held.
+func (g *gate) prune(now time.Time) {
+	g.queue.refuse(func(place int, w *waiter) *fault.Error { return g.tooLate(now, place+1, w.deadline) })
+}
+
+// dispatch admits waiters as far as there is room; the lock is held.
+func (g *gate) dispatch() {
+	if f := g.refusal(); f != nil {
+		g.queue.refuse(func(int, *waiter) *fault.Error { return f })
+		return
+	}
+	now := g.keeper.clock.Now()
+	g.prune(now)
+	for !now.Before(g.quiet) && g.busy(now) < g.allowed(now) {
+		w := g.queue.pop()
+		if w == nil {
+			return
+		}
+		w.ended <- verdict{pass: g.admit(now, w.deadline)}
+	}
+}
+
+// wake dispatches after d, when ghosts have ended or a shedding target may be asked again; the lock is held.
+func (g *gate) wake(d time.Duration) {
+	g.keeper.clock.AfterFunc(d, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.dispatch()
+	})
+}
+
+// take removes a pass from those that are under way; the lock is held.
+func (g *gate) take(p *pass) {
+	for i, o := range g.flying {
+		if o == p {
+			g.flying = append(g.flying[:i], g.flying[i+1:]...)
+			return
+		}
+	}
+}
+
+// giveBack returns a pass whose request was not sent.
+func (g *gate) giveBack(p *pass) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.take(p)
+	g.dispatch()
+}
+
+// done gives the pass back with what the target said of itself in its reply or refusal, and the error of the exchange.
+func (p *pass) done(s target.State, err error) {
+	g := p.gate
+	g.mu.Lock()
+	g.take(p)
+	g.heard++
+	now := g.keeper.clock.Now()
+	outcome := outcomeOf(err)
+	if outcome == lost && now.Before(p.deadline) {
+		g.haunt(now, ghost{id: p.id, until: p.deadline})
+	}
+	sign := g.learn(now, p, s, err, outcome)
+	g.dispatch()
+	g.mu.Unlock()
+	if outcome == lost && p.id != "" {
+		g.keeper.spawn(func() { g.cancel(p) })
+	}
+	g.keeper.spreadSign(g.name, sign)
+}
+
+// haunt keeps room for a request that may still run; the lock is held.
+func (g *gate) haunt(now time.Time, o ghost) {
+	g.ghosts = append(g.ghosts, o)
+	g.wake(o.until.Sub(now))
+}
+
+// cancel asks the target to stop work on a lost request and frees its room once the target has said so.
+func (g *gate) cancel(p *pass) {
+	ctx, stop := g.keeper.clock.WithTimeout(context.Background(), p.left())
+	defer stop()
+	g.mu.Lock()
+	client := g.client
+	g.mu.Unlock()
+	if client.Cancel(ctx, p.id) != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, o := range g.ghosts {
+		if o.id == p.id {
+			g.ghosts[i].until = g.keeper.clock.Now().Add(cancelGrace)
+		}
+	}
+	g.wake(cancelGrace)
+}
+
+// outcome says what is certain about a request at its target.
+type outcome uint8
+
+const (
+	answered outcome = iota
+	refused
+	unsent
+	lost
+)
+
+func outcomeOf(err error) outcome {
+	if err == nil {
+		return answered
+	}
 	var refusal *target.Refusal
 	if errors.As(err, &refusal) {
-		return refusal.State
+		return refused
 	}
-	return target.State{}
+	var status *target.StatusError
+	if errors.As(err, &status) {
+		return answered
+	}
+	var failed *target.SendError
+	if errors.As(err, &failed) && !failed.Sent {
+		return unsent
+	}
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return unsent
+	}
+	return lost
 }
 
-// faultOf maps a target's failure to an error kind.
-func faultOf(name string, err error) *fault.Error {
+// stateOf returns what a target said of itself in a refusal, or the zero state.
+func stateOf(err error) target.State {
 	var refusal *target.Refusal
 	if errors.As(err, &refusal) {
-		switch refusal.Reason {
-		case target.Shed:
-			return fault.New(fault.Overload, "%s sheds load", name).After(refusal.Retry.D())
-		case target.Left:
-			return fault.New(fault.NoReplica, "%s is leaving", name)
-		case target.Absent, target.Gone:
-			return fault.New(fault.Moved, "%s doesn't hold the snapshot: %s", name, refusal.Reason)
-		case target.Expired:
-			return fault.New(fault.TooLate, "%s got the request too late", name)
-		default:
-			return fault.New(fault.Internal, "%s finds the request malformed", name)
-		}
+		return refusal.State
 	}
-	return fault.New(fault.NoReplica, "%s: %v", name, err)
+	return target.State{}
 }
--- a/keeper/layout.go
+++ b/keeper/layout.go
@@ -22,6 +22,7 @@
 type layout struct {
 	service string
 	version uint64
+	targets map[string]*shard.Target
 	blocks  map[string][]block
 }
 
@@ -33,12 +34,13 @@
 		order[i] = i
 	}
 	slices.SortFunc(order, func(a, b int) int { return strings.Compare(m.Targets[a].Name, m.Targets[b].Name) })
-	l := &layout{service: m.Service, version: m.Version, blocks: map[string][]block{}}
+	l := &layout{service: m.Service, version: m.Version, targets: map[string]*shard.Target{}, blocks: map[string][]block{}}
 	place := make([]int, len(m.Targets))
 	for i := range place {
 		place[i] = -1
 	}
 	for _, t := range order {
+		l.targets[m.Targets[t].Name] = &m.Targets[t]
 		place[t] = l.put(m, t, rivals[t], place)
 	}
 	return l
--- a/keeper/remote.go
+++ b/keeper/remote.go
@@ -43,6 +43,18 @@
 	return nil
 }
 
+// Yield answers the call of that name.
+func (s *Service) Yield(q wire.Yield, r *wire.YieldReply) error {
+	*r = s.keeper.Yield(q)
+	return nil
+}
+
+// Sign answers the call of that name.
+func (s *Service) Sign(q wire.Sign, _ *wire.None) error {
+	s.keeper.Sign(q)
+	return nil
+}
+
 // Links reaches the keepers of all targets, this host's own without a call.
 type Links struct {
 	self   string
@@ -50,8 +62,15 @@
 	dialer *wire.Dialer
 }
 
-// NewLinks returns the way to all keepers from the host self.
+// NewLinks returns the way to all keepers from the host self and lets its own keeper call the others.
 func NewLinks(self string, own *Keeper, dialer *wire.Dialer) *Links {
+	own.call = func(ctx context.Context, m wire.Member, q wire.Yield) (r wire.YieldReply, err error) {
+		err = dialer.Call(ctx, m.Peers, Remote+".Yield", q, &r)
+		return r, err
+	}
+	own.tell = func(ctx context.Context, m wire.Member, s wire.Sign) error {
+		return dialer.Call(ctx, m.Peers, Remote+".Sign", s, &wire.None{})
+	}
 	return &Links{self: self, own: own, dialer: dialer}
 }
 
--- a/keeper/table.go
+++ b/keeper/table.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"kingcupcross/board"
+	"kingcupcross/shard"
 	"kingcupcross/wire"
 )
 
@@ -28,6 +29,8 @@
 type site struct {
 	hosts   []wire.Member
 	keepers map[string]*wire.Member
+	// kept lists the targets of each host, by its name.
+	kept map[string][]string
 }
 
 // Keeper returns the keeper of a target by the target's name; none is found where its data centre has no living host.
@@ -39,6 +42,31 @@
 	return *m, true
 }
 
+// keptBy returns the targets that a host is to keep.
+func (t *Table) keptBy(m wire.Member) []string {
+	s := t.sites[m.Datacentre]
+	if s == nil {
+		return nil
+	}
+	return s.kept[m.Name]
+}
+
+// keeps reports whether a host is to keep a target.
+func (t *Table) keeps(m wire.Member, target string) bool {
+	k := t.keepers[target]
+	return k != nil && k.Name == m.Name
+}
+
+// target returns a target's row with the service whose map names it, or nil.
+func (t *Table) target(name string) (service string, row *shard.Target) {
+	for _, l := range t.layouts {
+		if row := l.targets[name]; row != nil {
+			return l.service, row
+		}
+	}
+	return "", nil
+}
+
 // newTable chooses the keepers for a view and maps and takes over from the old table what has not changed.
 func newTable(old *Table, view *board.View, all *board.Maps) *Table {
 	t := &Table{
@@ -116,7 +144,7 @@
 
 // newSite gives each block to the host with the highest rendezvous weight that has room and, if possible, keeps no other block of the service.
 func newSite(hosts []wire.Member, blocks []block) *site {
-	s := &site{hosts: hosts, keepers: map[string]*wire.Member{}}
+	s := &site{hosts: hosts, keepers: map[string]*wire.Member{}, kept: map[string][]string{}}
 	total, largest := 0, 0
 	for _, b := range blocks {
 		total += len(b.targets)
@@ -137,6 +165,7 @@
 			// A target that several maps name goes with the first of them.
 			if s.keepers[t] == nil {
 				s.keepers[t] = &hosts[h]
+				s.kept[hosts[h].Name] = append(s.kept[hosts[h].Name], t)
 			}
 		}
 	}
--- /dev/null
+++ b/keeper/table_test.go
@@ -0,0 +1,143 @@
+package keeper
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupcross/board"
+	"kingcupcross/shard"
+	"kingcupcross/wire"
+)
+
+// fleet is a view and maps of one size for tests of the choice.
+func fleet(hosts, datacentres, targets, perService int) (*board.View, *board.Maps) {
+	v := &board.View{Members: map[string]wire.Member{}}
+	for i := range hosts {
+		m := wire.Member{
+			HostID:     wire.HostID{Name: fmt.Sprintf("h%03d", i), Incarnation: 1},
+			Datacentre: fmt.Sprintf("d%d", i%datacentres),
+			State:      wire.Alive,
+		}
+		v.Members[m.Name] = m
+	}
+	all := board.Maps{}
+	for first := 0; first < targets; first += perService {
+		m := &shard.Map{Service: fmt.Sprintf("s%04d", first/perService), Version: 1, Index: 1}
+		for i := range perService {
+			m.Targets = append(m.Targets, shard.Target{
+				Name:       fmt.Sprintf("t%04d", first+i),
+				Address:    netip.AddrPortFrom(netip.IPv4Unspecified(), 1),
+				Datacentre: fmt.Sprintf("d%d", i%datacentres),
+				Slots:      3,
+				Conns:      25,
+			})
+			// A shard has a replica in each of two data centres and a second one in its first.
+			m.Shards = append(m.Shards, []int{i, (i + 1) % perService, (i + datacentres) % perService})
+		}
+		all[m.Service] = m
+	}
+	return v, &all
+}
+
+func keepersOf(t *Table) map[string]string {
+	all := map[string]string{}
+	for name, m := range t.keepers {
+		all[name] = m.Name
+	}
+	return all
+}
+
+func TestTable(t *testing.T) {
+	for _, c := range []struct{ hosts, datacentres, targets, perService int }{
+		{hosts: 9, datacentres: 3, targets: 110, perService: 10},
+		{hosts: 50, datacentres: 6, targets: 396, perService: 99},
+		{hosts: 940, datacentres: 6, targets: 6336, perService: 99},
+		{hosts: 7, datacentres: 3, targets: 12, perService: 6},
+	} {
+		t.Run(fmt.Sprintf("%d hosts, %d targets", c.hosts, c.targets), func(t *testing.T) {
+			v, all := fleet(c.hosts, c.datacentres, c.targets, c.perService)
+			table := newTable(nil, v, all)
+			require.Len(t, table.keepers, c.targets)
+			requireApart(t, table, all)
+			requireLoad(t, table, v, c.datacentres)
+			require.Equal(t, keepersOf(table), keepersOf(newTable(nil, v, all)), "every host computes the same")
+		})
+	}
+}
+
+// requireApart checks that replicas of a shard within a data centre have different keepers.
+func requireApart(t *testing.T, table *Table, all *board.Maps) {
+	t.Helper()
+	for _, m := range *all {
+		for _, replicas := range m.Shards {
+			for i, a := range replicas {
+				for _, b := range replicas[i+1:] {
+					if m.Targets[a].Datacentre == m.Targets[b].Datacentre && a != b {
+						require.NotEqual(t, table.keepers[m.Targets[a].Name].Name, table.keepers[m.Targets[b].Name].Name)
+					}
+				}
+			}
+		}
+	}
+}
+
+// requireLoad checks that no host keeps more than a quarter beyond its equal share, or one block.
+func requireLoad(t *testing.T, table *Table, v *board.View, datacentres int) {
+	t.Helper()
+	load := map[string]int{}
+	for _, m := range table.keepers {
+		load[m.Name]++
+	}
+	hosts := len(v.Members) / datacentres
+	perSite := (len(table.keepers) + datacentres - 1) / datacentres
+	for name, n := range load {
+		require.LessOrEqual(t, n, max(perSite*5/(4*hosts)+1, blockSize), name)
+	}
+}
+
+func TestTableTakesOverWhatHasNotChanged(t *testing.T) {
+	v, all := fleet(12, 3, 60, 12)
+	old := newTable(nil, v, all)
+
+	moved := *all
+	next := board.Maps{}
+	for service, m := range moved {
+		c := *m
+		c.Index++
+		next[service] = &c
+	}
+	same := newTable(old, v, &next)
+	for name, s := range old.sites {
+		require.Same(t, s, same.sites[name], "a new index version makes no new choice")
+	}
+
+	w := &board.View{Members: map[string]wire.Member{}}
+	for name, m := range v.Members {
+		m.Settings = 7
+		if name == "h000" {
+			m.State = wire.Dead
+		}
+		w.Members[name] = m
+	}
+	changed := newTable(old, w, all)
+	require.NotSame(t, old.sites["d0"], changed.sites["d0"])
+	require.Same(t, old.sites["d1"], changed.sites["d1"])
+	for name, keeper := range keepersOf(changed) {
+		require.NotEqual(t, "h000", keeper, name)
+	}
+}
+
+func TestChooserFollowsTheBoard(t *testing.T) {
+	v, all := fleet(6, 2, 12, 6)
+	withHost(t, v.Members["h000"], func(h *host) {
+		h.board.Maps.Update(func(*board.Maps) *board.Maps { return all })
+		h.board.View.Update(func(*board.View) *board.View { return v })
+		first := h.keeper.Table()
+		require.Same(t, first, h.keeper.Table())
+		h.board.View.Update(func(*board.View) *board.View { return &board.View{Members: v.Members} })
+		require.NotSame(t, first, h.keeper.Table())
+	})
+}
--- a/target/client.go
+++ b/target/client.go
@@ -4,9 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +32,7 @@
 	transport *http.Transport
 	// matches says whether a reply's id is that of the request; it is a seam for tests.
 	matches func(asked, got string) bool
+	lost      atomic.Pointer[func()]
 }
 
 // NewClient returns a client for the target at address with at most conns connections.
@@ -40,13 +45,46 @@
 		// An order's body leaves only once the target has answered its head.
 		ExpectContinueTimeout: continueTimeout,
 	}
-	return &Client{
+	c := &Client{
 		base:      "http://" + address.String(),
 		queries:   &http.Client{Transport: t},
 		orders:    &http.Client{Transport: t, CheckRedirect: refuseRedirect},
 		transport: t,
 		matches:   func(asked, got string) bool { return asked == got },
 	}
+	t.DialContext = c.dial
+	return c
+}
+
+// OnLost sets the function that is called when the target's side ends a connection, as it does when its process ends.
+func (c *Client) OnLost(f func()) {
+	c.lost.Store(&f)
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &watched{Conn: conn, lost: &c.lost}, nil
+}
+
+// watched is a connection that tells when the other side ends it, also while no request uses it.
+type watched struct {
+	net.Conn
+	lost *atomic.Pointer[func()]
+}
+
+// Read reads from the connection and tells of its end.
+func (w *watched) Read(b []byte) (int, error) {
+	n, err := w.Conn.Read(b)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		if f := w.lost.Load(); f != nil {
+			(*f)()
+		}
+	}
+	return n, err
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error {
@@ -126,7 +164,17 @@
 	if json.Unmarshal(body, &r) == nil && r.Reason != "" {
 		return &r
 	}
-	return eris.Errorf("target answered with status %d", status)
+	return &StatusError{Status: status}
+}
+
+// StatusError is an answer without a reason: the target has stopped work on the request.
+type StatusError struct {
+	Status int
+}
+
+// Error returns the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("target answered with status %d", e.Status)
 }
 
 // Remaining returns the deadline field for a sub-request that may take d.
