--- a/keeper/bench_test.go
+++ b/keeper/bench_test.go
@@ -15,7 +15,6 @@
 
 	"kingcupcross/board"
 	"kingcupcross/emul"
-	"kingcupcross/fault"
 	"kingcupcross/shard"
 	"kingcupcross/target"
 	"kingcupcross/timer"
@@ -307,14 +306,3 @@
 	}
 	return m.Name, third
 }
-
-func kindOf(err error) string {
-	if err == nil {
-		return ""
-	}
-	var refusal *target.Refusal
-	if errors.As(err, &refusal) {
-		return string(refusal.Reason)
-	}
-	return fault.Of(err).Kind.String()
-}
--- a/keeper/bound_test.go
+++ b/keeper/bound_test.go
@@ -173,6 +173,24 @@
 				b.keeper()
 			},
 		},
+		{
+			name: "two faults: keeper cut off, then killed while the other side keeps the target too",
+			off:  func(p *policy) { p.lostFlight, p.witness = 0, false },
+			fault: func(b *bench) {
+				name, old := b.keeper()
+				heir, _ := b.heir(name)
+				b.part(name)
+				b.run(3 * time.Second)
+				b.sees(name, wire.Dead)
+				b.serve(8*time.Second, old, b.hosts[heir])
+				b.cut = func(string, string) bool { return false }
+				b.kill(name)
+				for range 10 {
+					b.run(benchStep)
+					b.flood(b.hosts[heir])
+				}
+			},
+		},
 		{
 			name: "two faults: answer to the hand-over lost, then the keeper killed",
 			off:  func(p *policy) { p.lostFlight = 0 },
--- a/keeper/claim.go
+++ b/keeper/claim.go
@@ -31,8 +31,8 @@
 type claim struct {
 	number uint64
 	began  time.Time
-	// answered holds the runs of hosts that have given up the target for this claim.
-	answered map[wire.HostID]bool
+	// answered holds the runs of hosts that have given up the target for this claim, with their turns then.
+	answered map[wire.HostID]uint64
 }
 
 // Run claims the targets that this host is to keep and reads their states until the context ends.
@@ -60,7 +60,7 @@
 	table := k.choice.load()
 	k.mu.Lock()
 	k.roster.follow(k.board.View.Load(), now)
-	k.census.Store(k.roster.census(k.policy.confirms))
+	k.census.Store(k.roster.census(now, k.policy.confirms))
 	k.sweep(table)
 	k.beginClaims(table, now)
 	calls := k.calls(now)
@@ -73,7 +73,7 @@
 	for _, g := range *k.gates.Load() {
 		k.takeFree(g, now)
 	}
-	k.census.Store(k.roster.census(k.policy.confirms))
+	k.census.Store(k.roster.census(now, k.policy.confirms))
 }
 
 // sweep gives up the targets that no map names any more; the lock is held.
@@ -123,7 +123,7 @@
 	}
 	if g.hold != idle {
 		// What was given before a pause has lapsed, and others may have kept the target since.
-		g.handed = time.Time{}
+		g.handed, g.heir = time.Time{}, heir{}
 		g.release()
 	}
 	if now.Before(g.retry) {
@@ -131,14 +131,23 @@
 	}
 	k.claims++
 	g.hold, g.pauses = claiming, pauses
-	g.claim = &claim{number: k.claims, began: now, answered: map[wire.HostID]bool{}}
+	g.claim = &claim{number: k.claims, began: now, answered: map[wire.HostID]uint64{}}
 	k.count.claims.Inc(1)
 }
 
+// has reports whether a peer has given the target up since it was last silent.
+func (c *claim) has(p *peer) bool {
+	turns, answered := c.answered[p.member.HostID]
+	return answered && turns == p.turns
+}
+
 // call is what one peer is asked.
 type call struct {
 	member wire.Member
 	yield  wire.Yield
+	began  time.Time
+	// turns are the peer's when the call began.
+	turns uint64
 	// whole says that the call asks about all targets that this host keeps.
 	whole bool
 }
@@ -154,7 +163,12 @@
 		if p.calling {
 			continue
 		}
-		c := call{member: p.member, whole: !p.confirmed}
+		c := call{
+			member: p.member,
+			began:  now,
+			turns:  p.turns,
+			whole:  !p.confirmed,
+		}
 		for name, g := range *k.gates.Load() {
 			if number, asks := g.asksAbout(p); asks {
 				c.yield.Targets = append(c.yield.Targets, wire.Wanted{Target: name, Claim: number})
@@ -180,7 +194,7 @@
 	defer g.mu.Unlock()
 	switch g.hold {
 	case claiming:
-		return g.claim.number, !g.claim.answered[p.member.HostID]
+		return g.claim.number, !g.claim.has(p)
 	case held:
 		return 0, !p.confirmed
 	default:
@@ -209,8 +223,8 @@
 		if p.recheck && p.failed.IsZero() {
 			p.failed = now
 		}
-	case err == nil && p != nil && p.member.HostID == c.member.HostID:
-		p.recheck, p.failed = false, time.Time{}
+	case err == nil && p != nil && p.member.HostID == c.member.HostID && p.turns == c.turns && now.Sub(c.began) <= callTimeout:
+		k.roster.back(p)
 		k.hear(p, c, reply, now)
 	}
 }
@@ -229,7 +243,7 @@
 	agreed := true
 	for _, w := range c.yield.Targets {
 		if g := (*k.gates.Load())[w.Target]; g != nil {
-			agreed = g.answeredBy(p.member.HostID, w.Claim, rows[w.Target], now) && agreed
+			agreed = g.answeredBy(p, w.Claim, rows[w.Target], now) && agreed
 		}
 	}
 	if c.whole && agreed && p.silent.IsZero() {
@@ -238,7 +252,7 @@
 }
 
 // answeredBy takes one row of an answer and reports whether the peer leaves the target to this host.
-func (g *gate) answeredBy(id wire.HostID, number uint64, r wire.Yielded, now time.Time) bool {
+func (g *gate) answeredBy(p *peer, number uint64, r wire.Yielded, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if (g.hold == claiming) != (number != 0) || (g.hold == claiming && g.claim.number != number) {
@@ -254,7 +268,7 @@
 		return false
 	}
 	if g.hold == claiming {
-		g.claim.answered[id] = true
+		g.claim.answered[p.member.HostID] = p.turns
 		if r.Handed {
 			g.handed = now.Add(handedTime)
 		}
@@ -293,7 +307,7 @@
 	if !now.Before(g.handed) {
 		g.ramp.restart(now, g.cold(target.State{}), "no keeper handed the target over")
 	}
-	g.handed = time.Time{}
+	g.handed, g.heir = time.Time{}, heir{}
 	k.count.kept.Inc(1)
 	k.say("target is kept here", g)
 }
@@ -301,7 +315,7 @@
 // free reports whether every other host has given the target up, has ended, or is silent for the fencing time, and whether the requests of lost keepers have ended too; the locks are held.
 func (k *Keeper) free(g *gate, now time.Time) bool {
 	for _, p := range k.roster.peers {
-		if g.claim.answered[p.member.HostID] {
+		if g.claim.has(p) {
 			continue
 		}
 		if p.silent.IsZero() || now.Sub(p.silent) < k.policy.silence {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -60,10 +60,10 @@
 		policy: newPolicy(b),
 		choice: &chooser{board: b},
 		spawn:  func(f func()) { go f() },
-		roster: newRoster(b.Self, clock.Now()),
 		signs:  map[string]uint64{},
 		asks:   map[string]*ask{},
 	}
+	k.roster = newRoster(b.Self, clock.Now(), func() time.Duration { return k.policy.lostFlight })
 	k.gates.Store(&map[string]*gate{})
 	k.census.Store(&census{present: 1, all: 1, first: true})
 	return k
--- a/keeper/learn.go
+++ b/keeper/learn.go
@@ -77,7 +77,7 @@
 // witness keeps room for the work of others that the target tells of; the lock is held.
 func (g *gate) witness(now time.Time, p *pass, s target.State) {
 	foreign := s.Busy - p.most
-	if foreign <= 0 {
+	if foreign <= 0 || !g.keeper.policy.witness {
 		return
 	}
 	g.witnessed = now
--- a/keeper/policy.go
+++ b/keeper/policy.go
@@ -49,6 +49,8 @@
 	cold func(settings, stated int) int
 	// doubts says whether a failed or slow reply and a lost connection make a target count as cold.
 	doubts bool
+	// witness says whether work that the target tells of and that isn't this host's takes room.
+	witness bool
 	// sticks says whether a sign of leaving stops new work until another process is seen.
 	sticks bool
 	// spreads says whether signs of leaving go to the other hosts.
@@ -67,6 +69,7 @@
 		silence:    detectLimit + board.PulseLimit + flightLimit,
 		cold:       coldLimit,
 		doubts:     true,
+		witness:    true,
 		sticks:     true,
 		spreads:    true,
 	}
--- a/keeper/roster.go
+++ b/keeper/roster.go
@@ -19,6 +19,8 @@
 	silent time.Time
 	// settled says that the peer counts in the shares.
 	settled bool
+	// turns counts how often the peer became silent: what it said before counts no more.
+	turns uint64
 	// confirmed says that the peer has answered about all targets kept here since it came or came back.
 	confirmed bool
 	// recheck says that the peer is to be asked for a sign of life, as another one has become silent, and failed is since when it gives none.
@@ -40,14 +42,20 @@
 	ended map[wire.HostID]time.Time
 	// lastEnd is the time of the last proof.
 	lastEnd time.Time
+	// linger holds settled hosts that ended while it was not certain what they kept, with the time at which their requests have ended.
+	linger map[string]time.Time
+	// flight returns the longest time that a request runs.
+	flight func() time.Duration
 }
 
-func newRoster(self wire.Member, now time.Time) *roster {
+func newRoster(self wire.Member, now time.Time, flight func() time.Duration) *roster {
 	return &roster{
-		self:  self,
-		began: now,
-		peers: map[string]*peer{},
-		ended: map[wire.HostID]time.Time{},
+		self:   self,
+		began:  now,
+		peers:  map[string]*peer{},
+		ended:  map[wire.HostID]time.Time{},
+		linger: map[string]time.Time{},
+		flight: flight,
 	}
 }
 
@@ -89,8 +97,8 @@
 		r.peers[m.Name] = p
 	} else if p.member.Incarnation < m.Incarnation {
 		// A new run of a host proves that the one before has ended.
-		r.note(p.member.HostID, now)
-		p.confirmed, p.silent = false, time.Time{}
+		r.note(p, now)
+		p.confirmed, p.silent, p.failed = false, time.Time{}, time.Time{}
 	}
 	if !heard {
 		p.heard = false
@@ -116,11 +124,24 @@
 		// A leaving host sends nothing by the time that it counts as dead.
 		r.end(m.HostID, now)
 	case p.silent.IsZero():
-		p.silent, p.confirmed = now, false
-		r.recheckAll()
+		r.silence(p, now)
+		if turned {
+			r.recheckAll()
+		}
 	}
 }
 
+// silence notes that a peer gives no sign of life.
+func (r *roster) silence(p *peer, now time.Time) {
+	p.silent, p.confirmed = now, false
+	p.turns++
+}
+
+// back notes a sign of life that came straight from a peer; where the view goes on taking it for dead, the time of its silence begins anew.
+func (r *roster) back(p *peer) {
+	p.silent, p.failed, p.recheck = time.Time{}, time.Time{}, false
+}
+
 // recheckAll has all peers asked for a sign of life: where one is silent this host may be cut off from many, and must know soon of how many.
 func (r *roster) recheckAll() {
 	for _, p := range r.peers {
@@ -128,16 +149,19 @@
 	}
 }
 
-// note remembers that a run of a host has ended.
-func (r *roster) note(id wire.HostID, now time.Time) {
-	r.ended[id] = now
+// note remembers that a peer's run has ended; what it may have kept as the other side of a cut runs on for a while.
+func (r *roster) note(p *peer, now time.Time) {
+	r.ended[p.member.HostID] = now
 	r.lastEnd = now
+	if p.settled && !p.confirmed {
+		r.linger[p.member.String()] = now.Add(r.flight())
+	}
 }
 
 // end removes a host that is proved to have ended.
 func (r *roster) end(id wire.HostID, now time.Time) {
-	r.note(id, now)
 	if p := r.peers[id.Name]; p != nil && p.member.HostID == id {
+		r.note(p, now)
 		delete(r.peers, id.Name)
 	}
 }
@@ -157,7 +181,7 @@
 }
 
 // census counts the hosts for the shares.
-func (r *roster) census(confirms bool) *census {
+func (r *roster) census(now time.Time, confirms bool) *census {
 	c := &census{present: 1, all: 1}
 	first, known, silent := r.self.Name, r.hasSettled(), time.Time{}
 	c.first = true
@@ -180,6 +204,13 @@
 			first, c.first = p.member.Name, here
 		}
 	}
+	for name, until := range r.linger {
+		if now.Before(until) {
+			c.all++
+		} else {
+			delete(r.linger, name)
+		}
+	}
 	if !silent.IsZero() && !anyPresent {
 		c.alone = silent
 	}
--- a/keeper/yield.go
+++ b/keeper/yield.go
@@ -43,8 +43,12 @@
 		return
 	}
 	delete(k.roster.ended, m.HostID)
-	if p := k.roster.peers[m.Name]; p == nil || p.member.Incarnation < m.Incarnation {
-		k.roster.meet(m, now, true)
+	p := k.roster.peers[m.Name]
+	if p == nil || p.member.Incarnation < m.Incarnation {
+		p = k.roster.meet(m, now, true)
+	}
+	if p != nil && p.member.HostID == m.HostID {
+		k.roster.back(p)
 	}
 }
 
