--- a/keeper/claim.go
+++ b/keeper/claim.go
@@ -76,11 +76,11 @@
 	k.census.Store(k.roster.census(now, k.policy.confirms))
 }
 
-// sweep gives up the targets that no map names any more; the lock is held.
+// sweep gives up the targets that no map names any more, or that have moved to another address, which means another process; the lock is held.
 func (k *Keeper) sweep(table *Table) {
 	for name, g := range *k.gates.Load() {
-		if _, t := table.target(name); t == nil && g.idle() {
-			k.drop(name)
+		if _, t := table.target(name); (t == nil || !g.fits(*t)) && g.idle() {
+			k.remove(name)
 		}
 	}
 }
@@ -107,9 +107,7 @@
 		}
 		g := k.ensure(service, *t)
 		g.mu.Lock()
-		if g.target != *t {
-			g.retarget(*t)
-		}
+		g.target = *t
 		k.beginClaim(g, now)
 		g.mu.Unlock()
 	}
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -32,10 +32,10 @@
 	keeper  *Keeper
 	service string
 	name    string
+	client  *target.Client
 
 	mu     sync.Mutex
 	target shard.Target
-	client *target.Client
 	hold   hold
 	claim  *claim
 	// pauses is the number of pauses of this process when the right was asked for; a later pause ends it.
@@ -88,24 +88,21 @@
 }
 
 func newGate(k *Keeper, service string, t shard.Target) *gate {
-	g := &gate{keeper: k, service: service, name: t.Name}
-	g.retarget(t)
+	g := &gate{
+		keeper:  k,
+		service: service,
+		name:    t.Name,
+		client:  target.NewClient(t.Address, t.Conns),
+		target:  t,
+	}
+	g.client.OnLost(g.lost)
+	g.ramp.restart(k.clock.Now(), g.cold(target.State{}), "nothing is known of the target")
 	return g
 }
 
-// retarget follows a change of the target's row in the shard map; a new address means a new process.
-func (g *gate) retarget(t shard.Target) {
-	if g.client != nil && g.target.Address == t.Address && g.target.Conns == t.Conns {
-		g.target = t
-		return
-	}
-	if g.client != nil {
-		g.client.Close()
-	}
-	g.target = t
-	g.client = target.NewClient(t.Address, t.Conns)
-	g.client.OnLost(g.lost)
-	g.ramp.restart(g.keeper.clock.Now(), g.cold(target.State{}), "nothing is known of the target")
+// fits reports whether the gate's client is right for a target's row in the shard map.
+func (g *gate) fits(t shard.Target) bool {
+	return g.target.Address == t.Address && g.target.Conns == t.Conns
 }
 
 func (g *gate) settings() *tree.Values {
@@ -352,20 +349,17 @@
 func (g *gate) cancel(p *pass) {
 	ctx, stop := g.keeper.clock.WithTimeout(context.Background(), p.left())
 	defer stop()
-	g.mu.Lock()
-	client := g.client
-	g.mu.Unlock()
-	if client.Cancel(ctx, p.id) != nil {
+	if g.client.Cancel(ctx, p.id) != nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, o := range g.ghosts {
 		if o.id == p.id {
-			g.ghosts[i].until = g.keeper.clock.Now().Add(cancelGrace)
+			g.ghosts[i].until = g.keeper.clock.Now().Add(endGrace)
 		}
 	}
-	g.wake(cancelGrace)
+	g.wake(endGrace)
 }
 
 // outcome says what is certain about a request at its target.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -112,8 +112,8 @@
 	return g
 }
 
-// drop removes a gate; the lock is held.
-func (k *Keeper) drop(name string) {
+// remove forgets a gate; the lock is held.
+func (k *Keeper) remove(name string) {
 	next := maps.Clone(*k.gates.Load())
 	next[name].client.Close()
 	delete(next, name)
@@ -131,7 +131,7 @@
 // Leave lets the other hosts take the targets over and returns once they have and all requests have ended, or with the context's error; afterwards nothing more is sent.
 func (k *Keeper) Leave(ctx context.Context) error {
 	k.leaving.Store(true)
-	defer k.stop()
+	defer k.halt()
 	tick := k.clock.Every(leavePoll)
 	defer tick.Stop()
 	for k.keepsAny() {
@@ -157,8 +157,8 @@
 	return false
 }
 
-// stop ends all new sends; requests that run go on.
-func (k *Keeper) stop() {
+// halt ends all new sends; requests that run go on.
+func (k *Keeper) halt() {
 	k.stopped.Store(true)
 	for _, g := range *k.gates.Load() {
 		g.mu.Lock()
--- a/keeper/learn.go
+++ b/keeper/learn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"kingcupcross/fault"
@@ -19,7 +20,7 @@
 		sign = max(sign, g.refusedBy(now, refusal))
 	case err == nil:
 		g.ramp.win(s, g.cold(s), g.target.Slots, p.sent, now.Sub(p.sent))
-	case o == lost && errors.Is(err, context.Canceled) && now.Before(p.deadline):
+	case givenUp(err) && now.Before(p.deadline):
 		// This host gave the request up, which says nothing about the target.
 	default:
 		g.doubt(now, "a request failed")
@@ -27,6 +28,12 @@
 	return sign
 }
 
+// givenUp reports whether a request ended because this host cancelled it, by its context or at the target.
+func givenUp(err error) bool {
+	var status *target.StatusError
+	return errors.Is(err, context.Canceled) || (errors.As(err, &status) && status.Status == http.StatusGatewayTimeout)
+}
+
 // hear notes what a reply or refusal states; the lock is held.
 func (g *gate) hear(now time.Time, s target.State) (sign uint64) {
 	before := g.ramp.limit
@@ -125,11 +132,11 @@
 // check reads the state endpoint, which may lag: it can lower the limit and tell of leaving, and never raises.
 func (g *gate) check(ctx context.Context) {
 	g.mu.Lock()
-	client, last := g.client, g.heard
+	last := g.heard
 	g.mu.Unlock()
 	ctx, cancel := g.keeper.clock.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	s, err := client.State(ctx)
+	s, err := g.client.State(ctx)
 	if err != nil {
 		return
 	}
--- a/keeper/policy.go
+++ b/keeper/policy.go
@@ -19,8 +19,8 @@
 	slowFactor = 8
 	// slowFloor is the shortest time that counts as slow.
 	slowFloor = 100 * time.Millisecond
-	// cancelGrace is the time that a target may take to end a request after it has accepted the cancellation.
-	cancelGrace = 10 * time.Millisecond
+	// endGrace is the time that a target may take to end a request after it has accepted the cancellation.
+	endGrace = 10 * time.Millisecond
 	// checkTimeout bounds a read of a target's state endpoint.
 	checkTimeout = 500 * time.Millisecond
 	// longestQuiet bounds the time that a target's shedding keeps new work away.
--- a/keeper/yield.go
+++ b/keeper/yield.go
@@ -104,7 +104,12 @@
 func (g *gate) flights(now time.Time) []time.Duration {
 	var all []time.Duration
 	for _, p := range g.flying {
-		if left := p.deadline.Sub(now); left > 0 {
+		left := p.deadline.Sub(now)
+		if p.id == "" {
+			// An order that has begun may run longer than its deadline.
+			left = flightLimit
+		}
+		if left > 0 {
 			all = append(all, left)
 		}
 	}
