--- a/host/leave_test.go
+++ b/host/leave_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -36,6 +37,8 @@
 	ended  [2]chan error
 	target *emul.Target
 	work   *timer.Manual
+	// again repeats the order in flight at host 1.
+	again func() reply
 }
 
 const (
@@ -85,9 +88,10 @@
 	p.until(func() bool { return p.sees(0, wire.Alive) && p.sees(1, wire.Alive) })
 	f(p)
 	p.release()
-	for i := range p.hosts {
-		p.hosts[i].Stop()
+	for i, h := range p.hosts {
+		h.Stop()
 		require.NoError(t, <-p.ended[i])
+		p.ended[i] <- nil
 	}
 }
 
@@ -168,6 +172,17 @@
 	return reply{status: resp.StatusCode, body: b, err: err}
 }
 
+// persist sends a query again for as long as its answer says that the keeper has changed before the query came there.
+func (p *pair) persist(host int) reply {
+	for {
+		r := p.post(host, apiv1.PathQuery, apiv1.Query{Service: service, Class: "routine"})
+		if r.err != nil || !bytes.Contains(r.body, []byte("moved")) {
+			return r
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // keeper returns the host that keeps the target, the other one being a caller's way to it.
 func (p *pair) keeper() int {
 	if len(p.hosts[0].keeper.Gates()) > 0 {
@@ -200,7 +215,7 @@
 		}
 		require.Equal(p.t, http.StatusOK, (<-first).status)
 		for range n {
-			go func() { replies <- p.post(at(p), apiv1.PathQuery, apiv1.Query{Service: service, Class: "routine"}) }()
+			go func() { replies <- p.persist(at(p)) }()
 		}
 		p.busy(min(n, slots))
 		return p.keeper(), p.release
@@ -217,22 +232,10 @@
 		Attempt: 1,
 		Class:   "routine",
 	}
-	first := make(chan reply, 1)
-	go func() { first <- p.post(0, apiv1.PathOrder, o) }()
+	go func() { replies <- p.post(0, apiv1.PathOrder, o) }()
 	p.busy(1)
-	return 0, func() {
-		p.release()
-		r := <-first
-		replies <- r
-		require.NoError(p.t, <-p.ended[0])
-		p.ended[0] <- nil
-		// The successor tells the same outcome.
-		again := p.post(1, apiv1.PathOrder, o)
-		require.Equal(p.t, r.status, again.status, string(again.body))
-		for id, n := range p.target.Witness().Runs {
-			require.Equal(p.t, 1, n, id)
-		}
-	}
+	p.again = func() reply { return p.post(1, apiv1.PathOrder, o) }
+	return 0, p.release
 }
 
 func slowUpload(p *pair, replies chan<- reply) (int, func()) {
@@ -250,34 +253,61 @@
 	}
 }
 
+var leaveCases = []leaveCase{
+	{name: "long query at the leaving host", begin: queries(1, (*pair).keeper), count: 1},
+	{name: "long query of another host at the leaving keeper", begin: queries(1, func(p *pair) int { return 1 - p.keeper() }), count: 1},
+	{name: "keeper with a full queue", begin: queries(12, func(p *pair) int { return 1 - p.keeper() }), count: 12},
+	{name: "order", begin: orderInFlight, count: 1},
+	{name: "slow upload", begin: slowUpload, count: 1},
+}
+
+// cut reports whether a reply is an error, a refusal or not the whole answer.
+func (r reply) cut() bool {
+	var a apiv1.Answer
+	return r.err != nil || r.status != http.StatusOK || json.Unmarshal(r.body, &a) != nil || a.Answered < a.Shards
+}
+
 func TestGracefulStopCutsOffNothing(t *testing.T) {
-	cases := []leaveCase{
-		{name: "long query at the leaving host", begin: queries(1, (*pair).keeper), count: 1},
-		{name: "long query of another host at the leaving keeper", begin: queries(1, func(p *pair) int { return 1 - p.keeper() }), count: 1},
-		{name: "keeper with a full queue", begin: queries(12, func(p *pair) int { return 1 - p.keeper() }), count: 12},
-		{name: "order", begin: orderInFlight, count: 1},
-		{name: "slow upload", begin: slowUpload, count: 1},
+	withoutDrain := func(h *Host) {
+		h.drain = func(context.Context) {}
+		h.shutdown = func(context.Context, func(context.Context) error) error { return nil }
 	}
-	for _, c := range cases {
+	for _, c := range leaveCases {
 		t.Run(c.name, func(t *testing.T) {
+			withPair(t, withoutDrain, func(p *pair) {
+				require.True(t, slices.ContainsFunc(p.leaveDuring(c, true), reply.cut), "without the waiting a request must be cut off")
+			})
 			withPair(t, func(*Host) {}, func(p *pair) {
-				for _, r := range p.leaveDuring(c) {
-					require.NoError(t, r.err)
-					require.Equal(t, http.StatusOK, r.status, string(r.body))
+				p.awaitNews()
+				for _, r := range p.leaveDuring(c, false) {
+					require.False(t, r.cut(), "%v %s", r.err, r.body)
 				}
 			})
 		})
 	}
 }
 
-// leaveDuring signals the leaving host twice, lets the work end once new work is refused there, and returns the callers' replies.
-func (p *pair) leaveDuring(c leaveCase) []reply {
+// awaitNews makes the notice last until the other host knows of the leaving, as its length is chosen to.
+func (p *pair) awaitNews() {
+	for i, h := range p.hosts {
+		h.drain = func(ctx context.Context) {
+			p.until(func() bool { return p.sees(1-i, wire.Leaving) || len(p.ended[1-i]) > 0 })
+			h.finish(ctx)
+		}
+	}
+}
+
+// leaveDuring signals the leaving host twice, lets the work end once new work is refused there, or the host has ended, and returns the callers' replies.
+func (p *pair) leaveDuring(c leaveCase, ended bool) []reply {
 	replies := make(chan reply, c.count)
 	leaving, finish := c.begin(p, replies)
 	h := p.hosts[leaving]
 	h.Stop()
 	h.Stop()
 	p.until(func() bool { return h.board.Phase() == board.Closed })
+	if ended {
+		p.until(func() bool { return len(p.ended[leaving]) == 1 })
+	}
 	finish()
 	var all []reply
 	for range c.count {
@@ -286,18 +316,19 @@
 	return all
 }
 
-// TestStopWithoutDrainCutsOff shows that the waiting is what keeps the requests whole.
-func TestStopWithoutDrainCutsOff(t *testing.T) {
-	without := func(h *Host) {
-		h.drain = func(context.Context) {}
-		h.shutdown = func(context.Context, func(context.Context) error) error { return nil }
-	}
-	withPair(t, without, func(p *pair) {
-		replies := make(chan reply, 1)
-		leaving, _ := queries(1, (*pair).keeper)(p, replies)
-		p.hosts[leaving].Stop()
-		r := <-replies
-		require.Error(t, r.err, string(r.body))
+func TestSuccessorTellsTheOutcomeAfterTheStop(t *testing.T) {
+	withPair(t, func(*Host) {}, func(p *pair) {
+		first := p.leaveDuring(leaveCase{begin: orderInFlight, count: 1}, false)[0]
+		p.until(func() bool { return len(p.ended[0]) == 1 })
+		again := p.again()
+		require.Equal(t, http.StatusOK, again.status, string(again.body))
+		var a, b apiv1.Outcome
+		require.NoError(t, json.Unmarshal(first.body, &a))
+		require.NoError(t, json.Unmarshal(again.body, &b))
+		require.Equal(t, a.Payload, b.Payload)
+		for id, n := range p.target.Witness().Runs {
+			require.Equal(t, 1, n, id)
+		}
 	})
 }
 
--- a/order/adopt.go
+++ b/order/adopt.go
@@ -13,6 +13,8 @@
 const (
 	// adoptPage is the number of records that one call hands over.
 	adoptPage = 1000
+	// maxAdopted bounds the records that one host adopts; beyond it the next host in rank is asked.
+	maxAdopted = 200_000
 	// adoptTimeout bounds the call that hands over one page.
 	adoptTimeout = 5 * time.Second
 )
@@ -53,10 +55,17 @@
 	}
 }
 
-// adopt keeps one page of a record.
-func (b *Book) adopt(p wire.Adopt) {
+// adopt keeps one page of a record; it fails where this host leaves itself or has adopted too much.
+func (b *Book) adopt(p wire.Adopt) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	held := len(p.Records)
+	for _, a := range b.adopted {
+		held += len(a.records)
+	}
+	if b.closed || held > maxAdopted {
+		return fault.New(fault.Overload, "%s adopts no record", b.board.Self.Name)
+	}
 	a := b.adopted[p.From]
 	if a == nil {
 		a = &adoption{records: map[uint64]wire.OrderRecord{}}
@@ -69,6 +78,7 @@
 		a.records[r.Sequence] = r
 	}
 	a.complete = a.complete || p.Last
+	return nil
 }
 
 func (b *Book) forget(id wire.HostID) {
--- a/order/once_test.go
+++ b/order/once_test.go
@@ -120,6 +120,10 @@
 		{name: "after the host died, at another data centre", without: withoutMinting, act: repeatAt("b1", func(fl *fleet) { fl.kill("a1") }), last: fault.Unknown},
 		{name: "after a graceful stop", without: withoutMinting, act: repeatAt("b1", func(fl *fleet) { fl.leave("a1") })},
 		{name: "after the successor's graceful stop", without: withoutMinting, act: repeatAt("b1", leaveTwice)},
+		{name: "after a graceful stop and its first successor's death", without: withoutMinting, act: repeatAt("b1", func(fl *fleet) {
+			fl.leave("a1")
+			fl.kill(fl.heir())
+		})},
 		{name: "store down", without: withoutClaims, act: keyAgain("a2", setStore(emul.StoreFaults{Down: true})), last: fault.Store},
 		{name: "claim's reply lost", without: withoutClaims, act: func(fl *fleet) {
 			fl.store.SetFaults(emul.StoreFaults{LoseReplies: 1})
@@ -150,8 +154,12 @@
 
 func leaveTwice(fl *fleet) {
 	fl.leave("a1")
-	heir := rank(fl.nodes["b1"].board.View.Load(), fl.nodes["a1"].board.Self.HostID, "a")[0]
-	fl.leave(heir.Name)
+	fl.leave(fl.heir())
+}
+
+// heir returns the first successor of a1.
+func (fl *fleet) heir() string {
+	return rank(fl.nodes["b1"].board.View.Load(), fl.nodes["a1"].board.Self.HostID, "a")[0].Name
 }
 
 func kindOf(v any) string {
@@ -276,10 +284,24 @@
 	})
 }
 
+func TestOrderFollowsItsKeeper(t *testing.T) {
+	withFleet(t, withAll, func(fl *fleet) {
+		fl.nodes[fl.keeperOf(0)].server.Close()
+		replies := make(chan wire.OrderReply, 1)
+		o := fl.ticketed("b1", 0)
+		go func() { replies <- fl.nodes["b1"].Run(t.Context(), o) }()
+		fl.kill(fl.keeperOf(0))
+		require.Nil(t, (<-replies).Fault)
+		require.Equal(t, 1, fl.runs())
+	})
+}
+
 func TestPausedHostSendsNothing(t *testing.T) {
 	withFleet(t, withAll, func(fl *fleet) {
 		fl.nodes[fl.keeperOf(0)].pause()
-		reply := fl.run("b1", fl.ticketed("b1", 0))
+		o := fl.ticketed("b1", 0)
+		o.Left = 2 * keeperWait
+		reply := fl.nodes["b1"].perform(o)
 		require.Equal(t, fault.Paused.String(), kindOf(reply))
 		require.True(t, reply.Fault.NotRun())
 		require.Zero(t, fl.runs())
--- a/order/own.go
+++ b/order/own.go
@@ -15,6 +15,8 @@
 	askAgain = 200 * time.Millisecond
 	// outcomeWait is how long the outcome of an order that has begun is waited for after its deadline.
 	outcomeWait = time.Minute
+	// keeperWait is the time between two tries where a keeper has changed.
+	keeperWait = 50 * time.Millisecond
 	// hopShare and hopMost give the part of an order's time that is kept back at each hop for the answer's way back.
 	hopShare = 10
 	hopMost  = 50 * time.Millisecond
@@ -107,7 +109,7 @@
 	}
 }
 
-// perform sends the order to one replica after another for as long as it is certain that none has run it.
+// perform sends the order to one replica after another for as long as it is certain that none has run it, and again where a keeper has changed.
 func (b *Book) perform(o wire.Order) wire.OrderReply {
 	m := b.board.Map(o.Service)
 	if m == nil {
@@ -117,8 +119,19 @@
 		return wire.OrderReply{Fault: fault.New(fault.Invalid, "%s has no shard %d", o.Service, o.Shard)}
 	}
 	deadline := b.clock.Now().Add(afterHop(o.Left))
+	for {
+		reply, again := b.round(o, m, deadline)
+		if !again || deadline.Sub(b.clock.Now()) <= keeperWait {
+			return reply
+		}
+		<-b.clock.After(keeperWait)
+	}
+}
+
+// round tries each replica once; again says that nothing ran and that a keeper which changes may take the order soon.
+func (b *Book) round(o wire.Order, m *shard.Map, deadline time.Time) (reply wire.OrderReply, again bool) {
+	reply.Fault = fault.New(fault.NoReplica, "no replica of shard %d of %s can be reached", o.Shard, o.Service)
 	table := b.table()
-	reply := wire.OrderReply{Fault: fault.New(fault.NoReplica, "no replica of shard %d of %s can be reached", o.Shard, o.Service)}
 	for _, i := range m.Shards[o.Shard] {
 		t := m.Targets[i]
 		k, found := table.Keeper(t.Name)
@@ -127,14 +140,20 @@
 		}
 		left := deadline.Sub(b.clock.Now())
 		if left <= 0 {
-			return wire.OrderReply{Fault: fault.New(fault.TooLate, "the order's time passed before it was sent")}
+			return wire.OrderReply{Fault: fault.New(fault.TooLate, "the order's time passed before it was sent")}, false
 		}
 		reply = b.sendTo(o, k, t, left)
 		if reply.Fault == nil || (!reply.Fault.NotRun() && b.guards.certain()) {
-			return reply
+			return reply, false
 		}
+		again = again || keeperChanges(reply.Fault.Kind)
 	}
-	return reply
+	return reply, again
+}
+
+// keeperChanges reports whether a refusal is the keeper's and not the target's.
+func keeperChanges(k fault.Kind) bool {
+	return k == fault.Moved || k == fault.Leaving || k == fault.Paused
 }
 
 func (b *Book) sendTo(o wire.Order, k wire.Member, t shard.Target, left time.Duration) wire.OrderReply {
@@ -163,7 +182,7 @@
 func lost(err error) *fault.Error {
 	var call *wire.CallError
 	if errors.As(err, &call) && !call.Sent {
-		return fault.New(fault.NoReplica, "%v", err)
+		return fault.New(fault.Moved, "the keeper can't be reached: %v", err)
 	}
 	return fault.New(fault.Unknown, "%v", err)
 }
--- a/order/remote.go
+++ b/order/remote.go
@@ -35,8 +35,7 @@
 
 // Adopt answers the call of that name.
 func (s *Service) Adopt(p wire.Adopt, _ *wire.None) error {
-	s.book.adopt(p)
-	return nil
+	return s.book.adopt(p)
 }
 
 // Claim answers the call of that name.
