--- a/host/host.go
+++ b/host/host.go
@@ -97,8 +97,7 @@
 		spread: spread.New(clock, b, platform, dialer.Call, l.For("spread"), m.Scope.SubScope("spread")),
 		entry:  entry.New(clock, b, engine, book, l.For("entry"), m.Scope.SubScope("entry")),
 		admin:  admin.New(b, k, m, l, engine.Explain),
-		// The keeper's seam for a graceful stop takes this place.
-		handOver: func(context.Context) error { return nil },
+		handOver: k.Leave,
 		notice:   leaveNotice,
 		linger:   leaveLinger,
 		stop:     make(chan struct{}),
--- a/order/own.go
+++ b/order/own.go
@@ -15,8 +15,9 @@
 	askAgain = 200 * time.Millisecond
 	// outcomeWait is how long the outcome of an order that has begun is waited for after its deadline.
 	outcomeWait = time.Minute
-	// keeperWait is the time between two tries where a keeper has changed.
-	keeperWait = 50 * time.Millisecond
+	// keeperWait is the time between two tries where a keeper has changed, keeperTries the number of further tries.
+	keeperWait  = 50 * time.Millisecond
+	keeperTries = 40
 	// hopShare and hopMost give the part of an order's time that is kept back at each hop for the answer's way back.
 	hopShare = 10
 	hopMost  = 50 * time.Millisecond
@@ -119,13 +120,15 @@
 		return wire.OrderReply{Fault: fault.New(fault.Invalid, "%s has no shard %d", o.Service, o.Shard)}
 	}
 	deadline := b.clock.Now().Add(afterHop(o.Left))
-	for {
-		reply, again := b.round(o, m, deadline)
+	reply, again := b.round(o, m, deadline)
+	for range keeperTries {
 		if !again || deadline.Sub(b.clock.Now()) <= keeperWait {
-			return reply
+			break
 		}
 		<-b.clock.After(keeperWait)
+		reply, again = b.round(o, m, deadline)
 	}
+	return reply
 }
 
 // round tries each replica once; again says that nothing ran and that a keeper which changes may take the order soon.
