--- a/peers/bridge.go
+++ b/peers/bridge.go
@@ -46,24 +46,38 @@
 	return min(a, b) + "\x00" + max(a, b)
 }
 
-// elsewhere returns the hosts of each other data centre that aren't known to be gone.
-func (p *Peers) elsewhere() map[string][]wire.Member {
-	all := map[string][]wire.Member{}
-	for _, m := range p.table.pick(func(m *wire.Member) bool {
-		return m.Datacentre != p.board.Self.Datacentre && m.State != wire.Dead
-	}) {
-		all[m.Datacentre] = append(all[m.Datacentre], m)
-	}
-	return all
+// places maps the data centres as one version of the table gives it, so that it isn't worked out anew each period.
+type places struct {
+	version uint64
+	// members holds the hosts of each other data centre that aren't known to be gone, the first bridges first.
+	members map[string][]wire.Member
+	// bridges holds this data centre's bridges to each other one.
+	bridges map[string][]wire.Member
 }
 
-// chosen returns this data centre's bridges to another one.
-func (p *Peers) chosen(datacentre string) []wire.Member {
-	own := p.table.pick(func(m *wire.Member) bool {
-		return m.Datacentre == p.board.Self.Datacentre && living(m)
-	})
-	ranked := rank(own, pair(p.board.Self.Datacentre, datacentre))
-	return ranked[:min(bridgesPerPair, len(ranked))]
+// elsewhere returns the other data centres.
+func (p *Peers) elsewhere() *places {
+	if p.places != nil && p.places.version == p.table.version {
+		return p.places
+	}
+	own := p.board.Self.Datacentre
+	all := &places{
+		version: p.table.version,
+		members: map[string][]wire.Member{},
+		bridges: map[string][]wire.Member{},
+	}
+	for _, m := range p.table.pick(func(m *wire.Member) bool { return m.Datacentre != own && m.State != wire.Dead }) {
+		all.members[m.Datacentre] = append(all.members[m.Datacentre], m)
+	}
+	near := p.table.pick(func(m *wire.Member) bool { return m.Datacentre == own && living(m) })
+	for datacentre, members := range all.members {
+		key := pair(own, datacentre)
+		all.members[datacentre] = rank(members, key)
+		ranked := rank(near, key)
+		all.bridges[datacentre] = ranked[:min(bridgesPerPair, len(ranked))]
+	}
+	p.places = all
+	return all
 }
 
 // bridgeStep makes the exchanges with other data centres for which this host is chosen.
@@ -75,23 +89,24 @@
 	}
 	others := p.elsewhere()
 	self := p.board.Self.Name
-	for datacentre := range others {
-		mine := slices.ContainsFunc(p.chosen(datacentre), func(m wire.Member) bool { return m.Name == self })
-		switch {
-		case mine && p.bridges[datacentre] == nil:
-			p.bridges[datacentre] = &bridge{
+	var due []*bridge
+	for datacentre := range others.members {
+		mine := slices.ContainsFunc(others.bridges[datacentre], func(m wire.Member) bool { return m.Name == self })
+		if !mine {
+			delete(p.bridges, datacentre)
+			continue
+		}
+		b := p.bridges[datacentre]
+		if b == nil {
+			b = &bridge{
 				datacentre: datacentre,
 				pending:    map[string]bool{},
 				marks:      map[string]bool{},
 				whole:      true,
 			}
-		case !mine:
-			delete(p.bridges, datacentre)
+			p.bridges[datacentre] = b
 		}
-	}
-	var due []*bridge
-	for datacentre, b := range p.bridges {
-		if len(others[datacentre]) > 0 && !b.busy {
+		if !b.busy {
 			b.busy = true
 			due = append(due, b)
 		}
@@ -106,13 +121,12 @@
 // cross makes one exchange of a bridge: with the other side's first host for the pair or, after misses, with one further down its order.
 func (p *Peers) cross(ctx context.Context, b *bridge) {
 	p.mu.Lock()
-	others := p.elsewhere()[b.datacentre]
-	if len(others) == 0 {
+	ranked := p.elsewhere().members[b.datacentre]
+	if len(ranked) == 0 {
 		b.busy = false
 		p.mu.Unlock()
 		return
 	}
-	ranked := rank(others, pair(p.board.Self.Datacentre, b.datacentre))
 	m := ranked[(int(p.ticks/bridgeTicks)%bridgesPerPair+b.missed)%len(ranked)]
 	whole := b.whole || len(b.pending) > maxPending
 	names, marks := unload(b.pending, 2*maxNews), unload(b.marks, 4*maxMarks)
@@ -185,8 +199,7 @@
 // cutOff returns the data centres to which all of this data centre's bridges have lost the link.
 func (p *Peers) cutOff() map[string]bool {
 	cut := map[string]bool{}
-	for datacentre := range p.elsewhere() {
-		bridges := p.chosen(datacentre)
+	for datacentre, bridges := range p.elsewhere().bridges {
 		down := len(bridges) > 0
 		for _, m := range bridges {
 			l, known := p.links[keyOf(&wire.Link{Host: m.HostID, Datacentre: datacentre})]
--- a/peers/join.go
+++ b/peers/join.go
@@ -85,7 +85,7 @@
 	p.fan(calls)
 	p.mu.Lock()
 	m.busy = false
-	over := p.over(m)
+	over := !p.replaced && p.mayAct(m)
 	p.mu.Unlock()
 	if !over || ctx.Err() != nil {
 		return
@@ -151,9 +151,6 @@
 
 // over says whether the host may act: it met a peer that was awake, or all hosts that could act in its place, or nobody for so long that each of them has taken over or was paused too.
 func (p *Peers) over(m *meeting) bool {
-	if p.replaced {
-		return false
-	}
 	bound := joinBound
 	if m.fence > 0 {
 		bound = LoneBound
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -30,7 +30,7 @@
 )
 
 // SilenceBound is the shortest time from a host's last sign of life to its death by silence; it is longer than board.PulseLimit, so a host that paused long enough to be taken for dead knows that it paused.
-const SilenceBound = 2*probeTimeout + suspicionBase
+const SilenceBound = probeTimeout + suspicionBase
 
 // Peers keeps the view of the other hosts on the board.
 type Peers struct {
@@ -44,10 +44,12 @@
 	clock *timer.Service
 	board *board.Board
 	call  wire.Caller
-	hosts func(context.Context) ([]store.Host, error)
-	seeds []netip.AddrPort
-	log   *zap.Logger
-	scope tally.Scope
+	// mayAct says whether a host that starts or was paused has heard enough to act.
+	mayAct func(*meeting) bool
+	hosts  func(context.Context) ([]store.Host, error)
+	seeds  []netip.AddrPort
+	log    *zap.Logger
+	scope  tally.Scope
 	// lost brings the addresses whose connections broke.
 	lost chan netip.AddrPort
 
@@ -61,6 +63,7 @@
 	links    map[linkKey]wire.Link
 	linkNews queue[linkKey]
 	bridges  map[string]*bridge
+	places   *places
 	round    []string
 	ticks    uint64
 	dirty    bool
@@ -69,14 +72,13 @@
 	changes  []wire.Member
 	synced   time.Time
 	replaced bool
-	started  time.Time
 	meeting  *meeting
 	listed   listed
 }
 
 // New returns the membership part, which reaches other hosts by call; hosts reads the platform's list.
 func New(clock *timer.Service, b *board.Board, call wire.Caller, hosts func(context.Context) ([]store.Host, error), seeds []netip.AddrPort, log *zap.Logger, scope tally.Scope) *Peers {
-	return &Peers{
+	p := &Peers{
 		Heard:    func(wire.Member, wire.Heads) {},
 		Heads:    func() wire.Heads { return wire.Heads{} },
 		Spawn:    func(f func()) { go f() },
@@ -97,8 +99,9 @@
 		links:    map[linkKey]wire.Link{},
 		linkNews: queue[linkKey]{},
 		bridges:  map[string]*bridge{},
-		started:  clock.Now(),
 	}
+	p.mayAct = p.over
+	return p
 }
 
 const lostBacklog = 64
@@ -269,8 +272,8 @@
 	p.spreadNews(&p.table.put(own, p.clock.Now()).member)
 	p.dirty = true
 	told := p.table.pick(p.neighbour)
-	for datacentre, members := range p.elsewhere() {
-		told = append(told, rank(members, pair(p.board.Self.Datacentre, datacentre))[0])
+	for _, members := range p.elsewhere().members {
+		told = append(told, members[0])
 	}
 	g := p.greeting()
 	p.mu.Unlock()
--- a/peers/table.go
+++ b/peers/table.go
@@ -29,6 +29,8 @@
 type table struct {
 	rows   map[string]*row
 	digest uint64
+	// version counts the changes of any record, but for settings' numbers.
+	version uint64
 }
 
 func newTable(self wire.Member, now time.Time) *table {
@@ -53,6 +55,7 @@
 	r := &row{member: m}
 	t.rows[m.Name] = r
 	t.digest ^= sum(&m)
+	t.version++
 	return r
 }
 
@@ -60,6 +63,7 @@
 	if r := t.rows[name]; r != nil {
 		t.digest ^= sum(&r.member)
 		delete(t.rows, name)
+		t.version++
 	}
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -41,10 +41,10 @@
 	list  func(ctx context.Context, prefix, after string, limit int) (store.Page, error)
 	watch func(ctx context.Context, prefix string, revision uint64, wait time.Duration) (store.Page, error)
 	call  wire.Caller
-	// follows says whether a change may be put in force on the tree that is.
-	follows func(t *tree.Tree, c *tree.Change) bool
-	log     *zap.Logger
-	scope   tally.Scope
+	// replaces says whether a whole tree may be put in force over the one that is.
+	replaces func(next, t *tree.Tree) bool
+	log      *zap.Logger
+	scope    tally.Scope
 
 	// mapsKnown says that the shard maps were read once, from the store or a peer.
 	mapsKnown atomic.Bool
@@ -78,7 +78,7 @@
 		list:     s.List,
 		watch:    s.Watch,
 		call:     call,
-		follows:  follows,
+		replaces: replaces,
 		log:      log,
 		scope:    scope,
 		compared: map[string]uint64{},
@@ -86,9 +86,9 @@
 	}
 }
 
-// follows takes a change only if it is the next one.
-func follows(t *tree.Tree, c *tree.Change) bool {
-	return c.N == t.N+1
+// replaces takes a whole tree at a host that has none: what comes late, from a slow replica or peer, never reverts anything.
+func replaces(_, t *tree.Tree) bool {
+	return t.N == 0
 }
 
 // Run follows the store, where that is this host's part, until the context ends.
@@ -144,10 +144,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.board.Tree.Load()
-	if !s.follows(t, &c) {
-		if c.N > t.N {
-			return false, errGap
-		}
+	if c.N > t.N+1 {
+		return false, errGap
+	}
+	if c.N <= t.N {
 		s.compare(c.N, c.ID)
 		return false, nil
 	}
@@ -194,7 +194,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.board.Tree.Load().N > 0 {
+	if !s.replaces(t, s.board.Tree.Load()) {
 		return false, nil
 	}
 	s.board.Tree.Update(func(*tree.Tree) *tree.Tree { return t })
