--- a/board/pulse_test.go
+++ b/board/pulse_test.go
@@ -23,3 +23,21 @@
 	p.Rejoin()
 	require.True(t, p.Awake())
 }
+
+func TestPauseDuringRejoinKeepsTheFence(t *testing.T) {
+	clock, manual := timer.NewManual(time.Unix(1000, 0))
+	p := NewPulse(clock)
+	manual.Jump(PulseLimit + time.Millisecond)
+	p.Beat()
+	first, fenced := p.Fences()
+	require.True(t, fenced)
+	manual.Jump(PulseLimit + time.Millisecond)
+	p.Beat()
+	require.False(t, p.RejoinAfter(first), "the exchange with the peers came before the second pause")
+	require.False(t, p.Awake())
+	second, _ := p.Fences()
+	require.True(t, p.RejoinAfter(second))
+	require.True(t, p.Awake())
+	manual.Jump(PulseLimit + time.Millisecond)
+	require.False(t, p.Awake(), "rejoining hides no pause that comes after")
+}
--- a/spread/propose.go
+++ b/spread/propose.go
@@ -29,6 +29,7 @@
 	get   func(ctx context.Context, key string) (store.Entry, bool, error)
 	put   func(ctx context.Context, key string, w store.Write) (uint64, error)
 	list  func(ctx context.Context, prefix, after string, limit int) (store.Page, error)
+	sleep func(context.Context, time.Duration) error
 	// certain says whether a read-back that finds no change proves that it took no effect.
 	certain bool
 }
@@ -40,6 +41,7 @@
 		get:   s.Get,
 		put:   s.Put,
 		list:  s.List,
+		sleep: clock.Sleep,
 	}
 }
 
@@ -196,7 +198,7 @@
 		if w.certain {
 			return err
 		}
-		if w.clock.Sleep(ctx, wait) != nil {
+		if w.sleep(ctx, wait) != nil {
 			break
 		}
 		wait = min(2*wait, settleLast)
--- a/store/client.go
+++ b/store/client.go
@@ -28,7 +28,7 @@
 	maxPage = 64 << 20
 )
 
-// Client speaks to the store; its methods fail with kind fault.Store where the store gave no answer and fault.Conflict where the condition of a write didn't hold.
+// Client speaks to the store; its methods fail with kind fault.Store where the store gave no answer and fault.Conflict where the condition of a write didn't hold; Ran is set where a write may have taken effect all the same.
 type Client struct {
 	clock *timer.Service
 	base  string
@@ -57,10 +57,16 @@
 func (c *Client) Put(ctx context.Context, key string, w Write) (revision uint64, err error) {
 	var done Written
 	status, err := c.call(ctx, http.MethodPut, PathKey+url.PathEscape(key), w, &done, callTimeout)
-	if status == http.StatusConflict {
+	switch status {
+	case http.StatusConflict:
 		return 0, fault.New(fault.Conflict, "%s was changed by another writer", key)
+	case http.StatusNotFound:
+		return 0, fault.New(fault.Conflict, "lease %d has lapsed", w.Lease)
+	case http.StatusRequestEntityTooLarge:
+		return 0, fault.New(fault.TooLarge, "%s: the store holds values up to %s", key, MaxValue)
+	default:
+		return done.Revision, err
 	}
-	return done.Revision, err
 }
 
 // Delete removes a key.
@@ -130,12 +136,17 @@
 	}
 	defer resp.Body.Close()
 	if err := decode(resp, method+" "+path, out); err != nil {
-		err.Ran = method != http.MethodGet
+		err.Ran = method != http.MethodGet && !refused(resp.StatusCode)
 		return resp.StatusCode, err
 	}
 	return resp.StatusCode, nil
 }
 
+// refused says whether a status is the store's own refusal, after which a write has certainly had no effect.
+func refused(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
 func decode(resp *http.Response, what string, out any) *fault.Error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPage))
 	if err != nil {
