--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"testing"
@@ -30,6 +31,8 @@
 	list     []store.Host
 	platform bool
 	ticks    int
+	// weigh is given each message between hosts.
+	weigh func(any)
 }
 
 type node struct {
@@ -39,6 +42,12 @@
 }
 
 func withFleet(t *testing.T, sizes map[string]int, f func(*fleet)) {
+	t.Helper()
+	withFleetAfter(t, sizes, 6*time.Second, f)
+}
+
+// withFleetAfter lets the hosts meet for a time first.
+func withFleetAfter(t *testing.T, sizes map[string]int, settle time.Duration, f func(*fleet)) {
 	t.Helper()
 	clock, manual := timer.NewManual(time.Unix(1000, 0))
 	l := &fleet{
@@ -47,13 +56,14 @@
 		manual:   manual,
 		net:      emul.NewNet(),
 		platform: true,
+		weigh:    func(any) {},
 	}
-	for _, datacentre := range []string{"a", "b", "c"} {
+	for _, datacentre := range slices.Sorted(maps.Keys(sizes)) {
 		for i := range sizes[datacentre] {
 			l.add(fmt.Sprintf("%s%d", datacentre, i+1), datacentre, nil)
 		}
 	}
-	l.run(6 * time.Second)
+	l.run(settle)
 	f(l)
 }
 
@@ -78,7 +88,14 @@
 		Datacentre: datacentre,
 		Peers:      address,
 	})
-	p := New(l.clock, b, l.net.Caller(address), l.hosts, seeds, zap.NewNop(), tally.NoopScope)
+	call := l.net.Caller(address)
+	weighed := func(ctx context.Context, a netip.AddrPort, method string, args, reply any) error {
+		l.weigh(args)
+		err := call(ctx, a, method, args, reply)
+		l.weigh(reply)
+		return err
+	}
+	p := New(l.clock, b, weighed, l.hosts, seeds, zap.NewNop(), tally.NoopScope)
 	p.Spawn = func(f func()) { f() }
 	n := &node{Peers: p}
 	l.nodes = append(l.nodes, n)
--- /dev/null
+++ b/peers/slope_test.go
@@ -0,0 +1,185 @@
+package peers
+
+import (
+	"context"
+	"encoding/gob"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupcross/wire"
+)
+
+// processorTime returns what this process has used so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// scale counts the bytes of messages as net/rpc's codec writes them on a connection that knows the types already.
+type scale struct {
+	encoder *gob.Encoder
+	bytes   int
+}
+
+func (s *scale) Write(b []byte) (int, error) {
+	s.bytes += len(b)
+	return len(b), nil
+}
+
+func newScale() *scale {
+	s := &scale{}
+	s.encoder = gob.NewEncoder(s)
+	for _, m := range []any{wire.Gossip{}, wire.Table{}, wire.Relay{}, wire.Relayed{}} {
+		s.weigh(m)
+	}
+	return s
+}
+
+// header is about the size of net/rpc's own frame of a message.
+const header = 25
+
+func (s *scale) weigh(m any) {
+	s.bytes += header
+	if err := s.encoder.Encode(m); err != nil {
+		panic(err)
+	}
+}
+
+// TestSlopeFleet prints what membership costs a host at several sizes; it runs only where SLOPE is set.
+func TestSlopeFleet(t *testing.T) {
+	if os.Getenv("SLOPE") == "" {
+		t.Skip("a measurement: set SLOPE=1")
+	}
+	sizes := []map[string]int{
+		{"a": 3, "b": 3, "c": 3},
+		{"a": 25, "b": 25},
+		{"a": 79, "b": 78},
+		{"a": 157, "b": 157, "c": 157, "d": 157, "e": 156, "f": 156},
+	}
+	t.Log("hosts phase calls/s bytes/s(sent+received) processor(share of a core, without codec and sockets) heap/host")
+	for _, size := range sizes {
+		withFleetAfter(t, size, 30*time.Second, func(l *fleet) {
+			settings := uint64(0)
+			for _, n := range l.nodes {
+				n.Heads = func() wire.Heads { return wire.Heads{Settings: settings} }
+			}
+			measure := func(phase string, d time.Duration) {
+				s := newScale()
+				s.bytes = 0
+				l.weigh = s.weigh
+				calls, used := l.net.Calls(Remote+".Probe"), processorTime()
+				l.run(d)
+				l.weigh = func(any) {}
+				used = processorTime() - used
+				per := d.Seconds() * float64(len(l.nodes))
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				t.Logf("%d %s %.1f %.0f %.4f%% %dKiB", len(l.nodes), phase,
+					float64(l.net.Calls(Remote+".Probe")-calls)/per, 2*float64(s.bytes)/per,
+					100*used.Seconds()/per, m.HeapAlloc/uint64(len(l.nodes))>>10)
+			}
+			measure("quiet", 10*time.Second)
+			settings++
+			measure("settings change", 10*time.Second)
+			measure("10 s after it", 10*time.Second)
+			l.kill("a2")
+			measure("host killed", 10*time.Second)
+		})
+	}
+}
+
+// BenchmarkSlopeProbe measures one probe with its answer, both sides together, over net/rpc and over bare UDP for comparison.
+func BenchmarkSlopeProbe(b *testing.B) {
+	b.Run("rpc", func(b *testing.B) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		t := &testing.T{}
+		withFleet(t, map[string]int{"a": 2}, func(f *fleet) {
+			server := wire.NewServer(l)
+			require.NoError(b, server.Register(Remote, NewService(f.node("a2").Peers)))
+			go server.Serve()
+			defer server.Close()
+			dialer := wire.NewDialer()
+			defer dialer.Close()
+			g := f.node("a1").gossip()
+			a := netip.MustParseAddrPort(l.Addr().String())
+			measured(b, func() {
+				var answer wire.Gossip
+				if err := dialer.Call(context.Background(), a, Remote+".Probe", g, &answer); err != nil {
+					b.Fatal(err)
+				}
+			})
+		})
+	})
+	b.Run("udp", func(b *testing.B) {
+		server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		require.NoError(b, err)
+		defer server.Close()
+		go func() {
+			buffer := make([]byte, 2048)
+			for {
+				n, from, err := server.ReadFromUDPAddrPort(buffer)
+				if err != nil {
+					return
+				}
+				server.WriteToUDPAddrPort(buffer[:n], from)
+			}
+		}()
+		client, err := net.DialUDP("udp", nil, server.LocalAddr().(*net.UDPAddr))
+		require.NoError(b, err)
+		defer client.Close()
+		message, answer := make([]byte, 150), make([]byte, 2048)
+		measured(b, func() {
+			client.Write(message)
+			if _, err := client.Read(answer); err != nil {
+				b.Fatal(err)
+			}
+		})
+	})
+}
+
+func measured(b *testing.B, f func()) {
+	b.Helper()
+	f()
+	used := processorTime()
+	for b.Loop() {
+		f()
+	}
+	b.ReportMetric(float64((processorTime()-used).Nanoseconds())/float64(b.N), "processor-ns/op")
+}
+
+// BenchmarkSlopeView measures the publication of a view and its size by the number of members.
+func BenchmarkSlopeView(b *testing.B) {
+	for _, n := range []int{9, 50, 157, 940} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := &fleet{t: &testing.T{}}
+			withFleet(f.t, map[string]int{"a": 1}, func(l *fleet) {
+				p := l.node("a1").Peers
+				for i := range n - 1 {
+					m := p.board.Self
+					m.Name = fmt.Sprintf("host-%d", i)
+					m.State = wire.Alive
+					m.Datacentre = string(rune('a' + i%6))
+					p.accept(m)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					p.dirty = true
+					p.publish()
+				}
+			})
+		})
+	}
+}
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -66,15 +66,15 @@
 	t.Helper()
 	clock, manual := timer.NewManual(time.Unix(1000, 0))
 	s := emul.NewStore(clock)
-	server := httptest.NewServer(s.Handler())
-	defer server.Close()
+	client, closeStore := serveStore(t, clock, s)
+	defer closeStore()
 	l := &fleet{
 		t:          t,
 		clock:      clock,
 		manual:     manual,
 		net:        emul.NewNet(),
 		store:      s,
-		client:     store.New(clock, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))),
+		client:     client,
 		readPeriod: 500 * time.Millisecond,
 		ids:        map[uint64]string{},
 	}
@@ -89,6 +89,13 @@
 	f(l)
 }
 
+// serveStore answers at a port of loopback.
+func serveStore(t *testing.T, clock *timer.Service, s *emul.Store) (client *store.Client, end func()) {
+	t.Helper()
+	server := httptest.NewServer(s.Handler())
+	return store.New(clock, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))), server.Close
+}
+
 func (l *fleet) add(name, datacentre string) *node {
 	i := len(l.nodes) + 1
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
