tree: check what a change touches, and find two organisations in one tree every time

A change of a key that other keys are held against still looks at all levels below its own. The test that compares both checks found that the name of the organisation was taken from a level picked at random, so that a tree of two organisations could pass at one host and fail at another; it is the first by name now.

--- a/tree/change.go
+++ b/tree/change.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -57,24 +59,61 @@
 	for _, o := range c.Ops {
 		next.set(o)
 	}
-	if problems := next.Check(); len(problems) > 0 {
+	if problems := next.checkChange(t, c.Ops); len(problems) > 0 {
 		return nil, joinProblems(problems)
 	}
 	return next, nil
 }
 
+// set replaces the level that the operation is for, as the tree before shares it.
 func (t *Tree) set(o Op) {
+	l := maps.Clone(t.levels[o.Path])
+	if l == nil {
+		l = Level{}
+	}
 	if o.After == nil {
-		delete(t.levels[o.Path], o.Key)
-		if len(t.levels[o.Path]) == 0 {
-			delete(t.levels, o.Path)
+		delete(l, o.Key)
+	} else {
+		l[o.Key] = o.After
+	}
+	t.levels[o.Path] = l
+	t.root.Store(nil)
+	if len(l) == 0 {
+		delete(t.levels, o.Path)
+	}
+}
+
+// together are the settings that may contradict another one, at their own level or below.
+var together = []string{"deadline", "longest", "prefer", "tail", "out"}
+
+// checkChange finds what Check would find, given that the tree before the operations passed: only what they touch is looked at.
+func (t *Tree) checkChange(before *Tree, ops []Op) []Problem {
+	organisation := before.Organisation()
+	touched, inherited := map[Path]bool{}, map[Path]bool{}
+	for _, o := range ops {
+		if organisation == "" || o.Path.Levels()[0] != Path(organisation) {
+			return t.Check()
+		}
+		touched[o.Path] = true
+		if slices.Contains(together, o.Key) {
+			inherited[o.Path] = true
+		}
+	}
+	var all []Problem
+	for _, p := range slices.Sorted(maps.Keys(touched)) {
+		if len(t.levels[p]) > 0 {
+			all = append(all, t.checkLevel(p)...)
 		}
-		return
 	}
-	if t.levels[o.Path] == nil {
-		t.levels[o.Path] = Level{}
+	if len(all) > 0 || len(inherited) == 0 {
+		return all
+	}
+	for _, p := range t.Paths() {
+		if slices.ContainsFunc(p.Levels(), func(l Path) bool { return inherited[l] }) {
+			all = append(all, t.checkTogether(p)...)
+		}
 	}
-	t.levels[o.Path][o.Key] = o.After
+	return all
 }
 
 func joinProblems(problems []Problem) error {
--- /dev/null
+++ b/tree/change_test.go
@@ -0,0 +1,58 @@
+package tree
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestChangeIsCheckedAsAWhole compares the check of what a change touches with the check of the whole tree, over random changes.
+func TestChangeIsCheckedAsAWhole(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	paths := []Path{"org", "org/r1", "org/r2", "org/r1/s1", "org/r1/s2", "org/r2/s1", "other", "other/r1"}
+	values := map[string][]string{
+		"deadline": {`"100ms"`, `"1s"`, `"50s"`, `"2000s"`},
+		"longest":  {`"500ms"`, `"30s"`, `"300s"`},
+		"prefer":   {`"latency"`, `"coverage"`},
+		"tail":     {`"190ms"`, `"2s"`},
+		"queue":    {"7", `"seven"`},
+		"out":      {`["a"]`},
+	}
+	keys := []string{"deadline", "longest", "prefer", "tail", "queue", "out"}
+	now, accepted, refused := Empty(), 0, 0
+	for range 3000 {
+		c := Change{N: now.N + 1, ID: "id", Author: "op", Reason: "test"}
+		for range 1 + r.IntN(3) {
+			k := keys[r.IntN(len(keys))]
+			o := Op{Path: paths[r.IntN(len(paths))], Key: k}
+			if r.IntN(3) > 0 {
+				o.After = json.RawMessage(values[k][r.IntN(len(values[k]))])
+			}
+			c.Ops = append(c.Ops, o)
+		}
+		whole := now.clone()
+		for _, o := range c.Ops {
+			whole.set(o)
+		}
+		before := slices.Clone(now.Paths())
+		next, err := now.Apply(c)
+		require.Equal(t, len(whole.Check()) == 0, err == nil, "%+v", c.Ops)
+		require.Equal(t, before, now.Paths(), "the tree before is left as it is")
+		if err != nil {
+			refused++
+			continue
+		}
+		accepted++
+		now = next
+		raw, err := now.Encode()
+		require.NoError(t, err)
+		again, err := Decode(raw)
+		require.NoError(t, err)
+		require.Empty(t, now.Diff(again))
+	}
+	require.Greater(t, accepted, 300)
+	require.Greater(t, refused, 300)
+}
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 )
 
 // Path names a level: "organisation", "organisation/region" or "organisation/region/service".
@@ -41,6 +42,8 @@
 	Last   string
 	levels map[Path]Level
 	cache  sync.Map
+	// root is the organisation, worked out when it is first asked for.
+	root atomic.Pointer[string]
 }
 
 // Empty returns the tree before the first change, in which every setting has its default.
@@ -48,12 +51,20 @@
 	return &Tree{levels: map[Path]Level{}}
 }
 
-// Organisation returns the root's name, or "" for the empty tree.
+// Organisation returns the root's name, or "" for the empty tree; of several, which no check lets pass, the first by name.
 func (t *Tree) Organisation() string {
+	if root := t.root.Load(); root != nil {
+		return *root
+	}
+	root := ""
 	for p := range t.levels {
-		return strings.Split(string(p), "/")[0]
+		name, _, _ := strings.Cut(string(p), "/")
+		if root == "" || name < root {
+			root = name
+		}
 	}
-	return ""
+	t.root.Store(&root)
+	return root
 }
 
 // Paths returns the levels at which something is set, in order.
@@ -124,10 +135,7 @@
 	return slices.Contains(t.ForRegion(region).Out, datacentre)
 }
 
+// clone returns a tree that shares its levels with t: they are replaced and never changed.
 func (t *Tree) clone() *Tree {
-	c := &Tree{N: t.N, Last: t.Last, levels: make(map[Path]Level, len(t.levels))}
-	for p, l := range t.levels {
-		c.levels[p] = maps.Clone(l)
-	}
-	return c
+	return &Tree{N: t.N, Last: t.Last, levels: maps.Clone(t.levels)}
 }
