--- a/peers/join.go
+++ b/peers/join.go
@@ -62,7 +62,8 @@
 	p.mu.Lock()
 	if p.meeting == nil || p.meeting.fence != number {
 		p.meeting = &meeting{fence: number, since: p.clock.Now(), met: map[netip.AddrPort]bool{}}
-		p.listed.next = time.Time{}
+		// What the list said before a pause counts for nothing.
+		p.listed.next, p.listed.good = time.Time{}, false
 	}
 	m := p.meeting
 	start := !m.busy && !p.replaced
--- a/peers/news.go
+++ b/peers/news.go
@@ -82,7 +82,10 @@
 // self returns this host's own record.
 func (p *Peers) self() wire.Member {
 	own := &p.table.rows[p.board.Self.Name].member
-	own.Settings = p.Heads().Settings
+	if settings := p.Heads().Settings; settings != own.Settings {
+		own.Settings = settings
+		p.marked = true
+	}
 	return travelling(*own)
 }
 
