peers: a paused host stays fenced until it has its peers' settings

It could act on old settings between its rejoining and the end of its fetch: a data centre taken out meanwhile would have taken work again for that moment. Found by reading; the variant without the rule in TestPausedOverTheChange shows the violation. Another process that answers at a host's address is now proof that the host's run is gone.

--- a/peers/join.go
+++ b/peers/join.go
@@ -40,6 +40,8 @@
 	busy bool
 	// woken says that a peer of this data centre answered that wasn't paused itself.
 	woken bool
+	// settings is the highest number of a settings change that a peer was found to have.
+	settings uint64
 }
 
 // listed is what the platform's list said last.
@@ -110,6 +112,9 @@
 		return
 	}
 	m.met[a] = true
+	if err == nil {
+		m.settings = max(m.settings, t.Heads.Settings)
+	}
 	if err == nil && t.From.Datacentre == p.board.Self.Datacentre {
 		m.woken = m.woken || !t.Fenced
 	}
@@ -150,14 +155,15 @@
 	return all
 }
 
-// over says whether the host may act: it met a peer that was awake, or all hosts that could act in its place, or nobody for so long that each of them has taken over or was paused too.
+// over says whether the host may act: it met a peer that was awake, or all hosts that could act in its place, and has the settings that those have, or met nobody for so long that each of them has taken over or was paused too.
 func (p *Peers) over(m *meeting) bool {
 	bound := joinBound
 	if m.fence > 0 {
 		bound = LoneBound
 	}
 	all := len(p.absent(m)) == 0 && (p.listed.good || len(m.met) > 0)
-	return m.woken || all || p.clock.Since(m.since) >= bound
+	current := p.Heads().Settings >= m.settings
+	return (current && (m.woken || all)) || p.clock.Since(m.since) >= bound
 }
 
 // refresh reads the platform's list, which names hosts that this one may not know; the list lags, so it is believed in nothing else.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// TestAddressIsReused has another host answer at the address of one that is gone.
+func TestAddressIsReused(t *testing.T) {
+	withFleet(t, today, func(l *fleet) {
+		n := l.node("a2")
+		n.gone = true
+		l.net.Register(n.board.Self.Peers, Remote, NewService(l.node("a3").Peers))
+		l.until(2*time.Second, "gone", func() bool { return l.sees("abc", "a2", wire.Dead) })
+		require.True(t, l.node("a1").member("a2").Proof)
+	})
+}
+
 // TestCutPairIsNoDeath cuts one pair of hosts only: without the probes that others make, each takes the other for dead again and again.
 func TestCutPairIsNoDeath(t *testing.T) {
 	for _, relays := range []bool{false, true} {
--- a/peers/probe.go
+++ b/peers/probe.go
@@ -48,6 +48,10 @@
 		return err
 	}
 	p.hear(&answer)
+	if answer.From.HostID != m.HostID {
+		// Another process answers at the address, so the run that listened there is gone.
+		p.bury(m.HostID)
+	}
 	return nil
 }
 
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -59,6 +59,7 @@
 	spread *Spread
 	name   string
 	gone   bool
+	frozen bool
 	n      uint64
 }
 
@@ -165,7 +166,7 @@
 		l.manual.Advance(board.PulsePeriod)
 		l.ticks++
 		for _, n := range l.nodes {
-			if !n.gone {
+			if !n.gone && !n.frozen {
 				l.tick(n)
 			}
 		}
--- a/spread/out_test.go
+++ b/spread/out_test.go
@@ -8,6 +8,7 @@
 
 	"kingcupcross/board"
 	"kingcupcross/emul"
+	"kingcupcross/wire"
 )
 
 // out says whether all running hosts honour that data centre b is out: its own refuse and the others leave it out.
@@ -99,3 +100,31 @@
 		}
 	})
 }
+
+// TestPausedOverTheChange stops a host of the data centre while that is taken out: it must not act on its old settings for a moment, though its fetch takes a while.
+func TestPausedOverTheChange(t *testing.T) {
+	guards(t, func(t *testing.T, guard bool) {
+		withFleet(t, 3, func(l *fleet) {
+			n := l.node("b1")
+			n.frozen = true
+			l.net.Freeze(n.board.Self.Peers)
+			l.accept("out", `["b"]`)
+			l.run(outBound)
+			l.net.Thaw(n.board.Self.Peers)
+			n.frozen = false
+			var delayed []func()
+			n.spread.Spawn = func(f func()) { delayed = append(delayed, f) }
+			if !guard {
+				// A meeting that learns of no peer's settings.
+				n.peers.Heads = func() wire.Heads { return wire.Heads{Settings: 1 << 40} }
+			}
+			l.run(time.Second)
+			require.False(t, n.board.SelfOut(), "the fetch is still under way")
+			require.Equal(t, !guard, n.board.Pulse.Awake())
+			for _, f := range delayed {
+				f()
+			}
+			require.True(t, l.within(time.Second, func() bool { return n.board.Pulse.Awake() && n.board.SelfOut() }))
+		})
+	})
+}
