--- a/tree/change.go
+++ b/tree/change.go
@@ -76,11 +76,14 @@
 	} else {
 		l[o.Key] = o.After
 	}
+	before := len(t.levels)
 	t.levels[o.Path] = l
-	t.root.Store(nil)
 	if len(l) == 0 {
 		delete(t.levels, o.Path)
 	}
+	if len(t.levels) != before {
+		t.root.Store(nil)
+	}
 }
 
 // together are the settings that may contradict another one, at their own level or below.
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -137,5 +137,7 @@
 
 // clone returns a tree that shares its levels with t: they are replaced and never changed.
 func (t *Tree) clone() *Tree {
-	return &Tree{N: t.N, Last: t.Last, levels: maps.Clone(t.levels)}
+	c := &Tree{N: t.N, Last: t.Last, levels: maps.Clone(t.levels)}
+	c.root.Store(t.root.Load())
+	return c
 }
