--- a/cmds/change.go
+++ b/cmds/change.go
@@ -133,7 +133,7 @@
 type PutCmd struct {
 	Operator
 	Signed
-	File string `arg:"" type:"existingfile" help:"The tree's file, in JSON with comments."`
+	File string `arg:"" help:"The tree's file, in JSON with comments."`
 }
 
 // Run appends the change.
--- a/cmds/read.go
+++ b/cmds/read.go
@@ -20,7 +20,7 @@
 
 // CheckCmd checks a settings file.
 type CheckCmd struct {
-	File string `arg:"" type:"existingfile" help:"The file, in JSON with comments."`
+	File string `arg:"" help:"The file, in JSON with comments."`
 	Kind string `default:"tree" enum:"tree,host" help:"What the file holds: ${enum}."`
 	JSON bool   `help:"Print the findings as JSON."`
 }
@@ -179,7 +179,7 @@
 // DiffCmd shows differences between trees.
 type DiffCmd struct {
 	Operator
-	File string  `arg:"" optional:"" type:"existingfile" help:"A tree's file, compared with the newest tree."`
+	File string  `arg:"" optional:"" help:"A tree's file, compared with the newest tree."`
 	From *uint64 `help:"Number of the change to compare from; 0 is the empty tree."`
 	To   *uint64 `help:"Number of the change to compare to; the newest by default."`
 }
--- a/conf/file.go
+++ b/conf/file.go
@@ -103,6 +103,9 @@
 		// The parser names the end of the file, but the quote to close is the last one.
 		e.Line = lineAt(text, bytes.LastIndexByte(text, '"'))
 		e.Text += ": close the quote"
+	case strings.HasSuffix(problem, "unexpected EOF") && !strings.Contains(problem, "comment"):
+		e.Line = lineAt(text, len(bytes.TrimSpace(text)))
+		e.Text += ": close what is open"
 	case strings.Contains(problem, "expecting ','"):
 		e.Text += ": put a comma after the value before this place"
 	}
