--- a/fault/fault.go
+++ b/fault/fault.go
@@ -31,6 +31,8 @@
 	Store
 	Moved
 	Forbidden
+	// end follows the last kind.
+	end
 )
 
 // Row is what a caller is told about one error kind.
@@ -78,7 +80,7 @@
 // Kinds returns all error kinds in their order.
 func Kinds() []Kind {
 	all := make([]Kind, 0, len(table))
-	for k := Internal; k <= Forbidden; k++ {
+	for k := Internal; k < end; k++ {
 		all = append(all, k)
 	}
 	return all
--- /dev/null
+++ b/tree/tree_test.go
@@ -0,0 +1,218 @@
+package tree
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"kingcupcross/conf"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("20261203"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// drawn are values of settings that contradict each other at no level.
+var drawn = map[string][]string{
+	"extra":    {`0.01`, `0.02`, `0.05`},
+	"queue":    {`1`, `64`, `500`},
+	"coverage": {`0`, `0.5`, `1`},
+	"keyless":  {`true`, `false`},
+	"body":     {`"1KiB"`, `"1MiB"`},
+}
+
+var drawnKeys = []string{"extra", "queue", "coverage", "keyless", "body"}
+
+// drawnPaths gives each organisation's level, two regions and two services of each.
+var drawnPaths = []Path{"o", "o/r", "o/s", "o/r/a", "o/r/b", "o/s/a", "o/s/b"}
+
+func drawOp(t *rapid.T) Op {
+	o := Op{
+		Path: rapid.SampledFrom(drawnPaths).Draw(t, "path"),
+		Key:  rapid.SampledFrom(drawnKeys).Draw(t, "key"),
+	}
+	if rapid.IntRange(0, 3).Draw(t, "remove") > 0 {
+		o.After = json.RawMessage(rapid.SampledFrom(drawn[o.Key]).Draw(t, "value"))
+	}
+	return o
+}
+
+func drawChange(t *rapid.T, n uint64, last string) Change {
+	return Change{
+		N:      n,
+		ID:     fmt.Sprint("id", n),
+		Prev:   last,
+		Author: "a",
+		Reason: "r",
+		Ops:    rapid.SliceOfN(rapid.Custom(drawOp), 1, 4).Draw(t, "ops"),
+	}
+}
+
+// TestInheritance compares the tree with a plain table of what was set where.
+func TestInheritance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := map[Path]map[string]string{}
+		current := Empty()
+		for n := range rapid.IntRange(1, 12).Draw(t, "changes") {
+			before, beforeN := current.Why("o/r/a"), current.N
+			old := current
+			c := drawChange(t, uint64(n+1), current.Last)
+			next, err := current.Apply(c)
+			require.NoError(t, err)
+			for _, o := range c.Ops {
+				if set[o.Path] == nil {
+					set[o.Path] = map[string]string{}
+				}
+				if delete(set[o.Path], o.Key); o.After != nil {
+					set[o.Path][o.Key] = string(o.After)
+				}
+			}
+			require.Equal(t, before, old.Why("o/r/a"), "a tree in force never changes")
+			require.Equal(t, beforeN, old.N)
+			current = next
+		}
+		for _, p := range drawnPaths {
+			requireInherited(t, set, current, p)
+		}
+		requireSameForms(t, current)
+	})
+}
+
+func requireInherited(t *rapid.T, set map[Path]map[string]string, current *Tree, p Path) {
+	for _, o := range current.Why(p) {
+		f, _ := fieldOf(o.Key)
+		want, from := string(f.fallback), Path("")
+		for _, l := range p.Levels() {
+			if v, ok := set[l][o.Key]; ok {
+				want, from = v, l
+			}
+		}
+		require.Equal(t, want, string(o.Value), "%s at %s", o.Key, p)
+		require.Equal(t, from, o.Level, "%s at %s", o.Key, p)
+	}
+}
+
+// requireSameForms takes the tree through each of its forms and back.
+func requireSameForms(t *rapid.T, current *Tree) {
+	var ops []Op
+	ops = append(ops, Empty().Diff(current)...)
+	again := Empty()
+	for _, o := range ops {
+		again.set(o)
+	}
+	require.Equal(t, current.levels, again.levels, "what Diff says leads to the same tree")
+	require.Empty(t, current.Diff(again))
+	if len(current.levels) == 0 {
+		return
+	}
+	f, err := conf.Parse("f", current.Format())
+	require.NoError(t, err)
+	d, err := ReadDocument(f)
+	require.NoError(t, err)
+	require.Empty(t, current.Diff(d.Tree), "what Format writes is what ReadDocument reads")
+	b, err := current.Encode()
+	require.NoError(t, err)
+	decoded, err := Decode(b)
+	require.NoError(t, err)
+	require.Empty(t, current.Diff(decoded))
+	require.Equal(t, current.N, decoded.N)
+}
+
+func TestContradictionIsPlacedAtTheLowestLevel(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want []string
+	}{
+		{
+			text: `{"organisation": "o", "settings": {"longest": "500ms", "deadline": "400ms"}, "regions": {"r": {"services": {"a": {"settings": {"deadline": "2s"}}}}}}`,
+			want: []string{"regions.r.services.a.settings.deadline"},
+		},
+		{
+			text: `{"organisation": "o", "settings": {"longest": "500ms"}, "regions": {"r": {"settings": {"queue": 1}}}}`,
+			want: []string{"settings.longest"},
+		},
+		{
+			text: `{"organisation": "o", "settings": {"tail": "3s"}, "regions": {"r": {"services": {"a": {"settings": {"prefer": "latency"}}}}}}`,
+			want: []string{"regions.r.services.a.settings.prefer"},
+		},
+	} {
+		f, err := conf.Parse("f", []byte(c.text))
+		require.NoError(t, err)
+		_, err = ReadDocument(f)
+		var keys []string
+		for _, e := range conf.Findings(err) {
+			keys = append(keys, e.Key)
+		}
+		require.Equal(t, c.want, keys)
+	}
+}
+
+func FuzzDocument(f *testing.F) {
+	for _, s := range []string{
+		`{"organisation": "o"}`, `{"organisation": "o", "settings": {"extra": 0.1}}`, `{"organisation": "o", "regions": {"r": {"services": {"a": {"settings": {"out": ["x"]}}}}}}`,
+		`{"organisation": "o", "settings": {"deadline": 1, "longest": null}}`, `{"organisation": "o", "regions": {"": {}, "a/b": {}}}`, `{"organisation": 1, "regions": []}`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := conf.Parse("f", text)
+		if err != nil {
+			return
+		}
+		d, err := ReadDocument(file)
+		if err != nil {
+			require.NotEmpty(t, conf.Findings(err), "%v", err)
+			return
+		}
+		for _, p := range d.Tree.Paths() {
+			d.Tree.at(p)
+		}
+		again, err := conf.Parse("f", d.Tree.Format())
+		require.NoError(t, err)
+		if len(d.Tree.levels) == 0 {
+			return
+		}
+		read, err := ReadDocument(again)
+		require.NoError(t, err)
+		require.Empty(t, d.Tree.Diff(read.Tree))
+	})
+}
+
+func FuzzChange(f *testing.F) {
+	for _, s := range []string{
+		`{"n": 1, "id": "x", "author": "a", "reason": "r", "ops": [{"path": "o", "key": "extra", "after": 0.1}]}`,
+		`{"n": 1, "id": "x", "author": "a", "reason": "r", "ops": [{"path": "", "key": "", "after": null}]}`,
+		`{"n": 1, "id": "x", "author": "a", "reason": "r", "ops": [{"path": "o/r/s/t", "key": "out", "after": [1]}]}`, `{}`, `[]`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var c Change
+		if json.Unmarshal(text, &c) != nil {
+			return
+		}
+		next, err := Empty().Apply(c)
+		if err != nil {
+			return
+		}
+		for _, p := range next.Paths() {
+			next.at(p)
+		}
+		b, err := next.Encode()
+		require.NoError(t, err)
+		_, err = Decode(b)
+		require.NoError(t, err)
+	})
+}
--- a/units/units.go
+++ b/units/units.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -84,8 +85,8 @@
 		if !found {
 			continue
 		}
-		n, err := strconv.ParseInt(digits, 10, 40)
-		if err != nil || n < 0 {
+		n, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || n < 0 || n > int64(math.MaxInt64/u.unit) {
 			break
 		}
 		*s = Size(n) * u.unit
