emul, _fixtures: both organisations at today's sizes, as layouts and as settings trees

The layout's rule could put both replicas of a shard into one data centre where the number of targets isn't a multiple of that of places (7 over 3 did); the test of the presets found it. The stand-ins read their files as the hosts do.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"kingcupcross/conf"
 	"kingcupcross/emul"
 	"kingcupcross/spread"
 	"kingcupcross/store"
@@ -39,12 +40,13 @@
 	}
 }
 
+// load reads a settings file as the product reads its own: with comments, and with the line of each finding.
 func load(name string, into any) error {
-	text, err := os.ReadFile(name)
+	f, err := conf.Read(name)
 	if err != nil {
-		return eris.Wrap(err, "read settings")
+		return err
 	}
-	return eris.Wrapf(json.Unmarshal(text, into), "decode %s", name)
+	return f.Decode(into)
 }
 
 // serve answers at the address until a signal or the loop's failure.
@@ -109,6 +111,7 @@
 
 type layoutCmd struct {
 	Out     string         `required:"" help:"Folder for the files."`
+	Preset  string         `help:"An organisation at today's sizes, saltlade or kormsu; it takes the place of places, targets, shards, service, slots and conns."`
 	Places  []string       `default:"jylland/aarhus,fyn/odense,sjaelland/roskilde" help:"Data centres as region/name."`
 	Hosts   int            `default:"3" help:"Hosts in each data centre."`
 	Targets int            `default:"12" help:"Targets in all."`
@@ -131,6 +134,12 @@
 		Conns:   c.Conns,
 		Median:  c.Median,
 	}
+	if c.Preset != "" {
+		if err := l.Preset(c.Preset); err != nil {
+			return err
+		}
+		return l.Write(c.Out)
+	}
 	for _, p := range c.Places {
 		place, err := emul.ParsePlace(p)
 		if err != nil {
--- a/cmds/change_test.go
+++ b/cmds/change_test.go
@@ -86,10 +86,10 @@
 
 func TestChangeForAnOlderTreeIsAConflict(t *testing.T) {
 	withOperators(t, func(o *operators) {
-		o.good("settings", "set", "saltlade", "queue", "10")
+		o.good("settings", "set", "saltlade", "coverage", "0.1")
 		code, _, problems := o.run("settings", "set", "saltlade", "extra", "0.01", "--if-change", "1")
 		require.Equal(t, ExitConflict, code)
-		require.Contains(t, problems, "saltlade queue: (inherited) -> 10")
+		require.Contains(t, problems, "saltlade coverage: (inherited) -> 0.1")
 		require.Contains(t, o.good("settings", "set", "saltlade", "extra", "0.01", "--if-change", "2"), "change 3 accepted")
 	})
 }
@@ -161,7 +161,7 @@
 		for _, err := os.Stat(gate); err != nil; _, err = os.Stat(gate) {
 			runtime.Gosched()
 		}
-		o.good("settings", "set", "saltlade", "queue", "10")
+		o.good("settings", "set", "saltlade", "coverage", "0.1")
 		require.NoError(t, os.Remove(gate))
 		require.Contains(t, <-done, "nothing was changed")
 	})
@@ -180,11 +180,11 @@
 
 func TestDiffAndGet(t *testing.T) {
 	withOperators(t, func(o *operators) {
-		o.good("settings", "set", "saltlade", "queue", "10")
-		require.Contains(t, o.good("settings", "diff", "--from", "1"), "saltlade queue: (inherited) -> 10")
-		require.Contains(t, o.good("settings", "diff", "../_fixtures/saltlade.jsonc"), "saltlade queue: 10 -> (inherited)")
+		o.good("settings", "set", "saltlade", "coverage", "0.1")
+		require.Contains(t, o.good("settings", "diff", "--from", "1"), "saltlade coverage: (inherited) -> 0.1")
+		require.Contains(t, o.good("settings", "diff", "../_fixtures/saltlade.jsonc"), "saltlade coverage: 0.1 -> (inherited)")
 		require.Contains(t, o.good("settings", "diff", "--from", "2"), "no difference")
-		require.Regexp(t, `queue +10 +saltlade\n`, o.good("settings", "get", "--why", "saltlade/fyn/dispatch"))
+		require.Regexp(t, `coverage +0.1 +saltlade\n`, o.good("settings", "get", "--why", "saltlade/fyn/gritting-08"))
 
 		whole := filepath.Join(t.TempDir(), "whole.jsonc")
 		require.NoError(t, os.WriteFile(whole, []byte(o.good("settings", "get")), 0o600))
--- a/conf/host.go
+++ b/conf/host.go
@@ -27,11 +27,11 @@
 	// Platform is the address of the platform's store and list of hosts.
 	Platform netip.AddrPort `json:"platform" doc:"address of the platform's store and list of hosts"`
 	// Seeds are peers' addresses of hosts to ask first, for starts without the platform.
-	Seeds []netip.AddrPort `json:"seeds" default:"[]" doc:"peers' addresses of some hosts, for a start while the platform is down"`
+	Seeds []netip.AddrPort `json:"seeds,omitempty" default:"[]" doc:"peers' addresses of some hosts, for a start while the platform is down"`
 	// Grace bounds the time that a graceful stop waits for requests in flight.
 	Grace units.Duration `json:"grace" default:"30s" min:"1s" max:"10m" doc:"longest time that a graceful stop waits for requests in flight"`
 	// Log is the level of each subsystem.
-	Log map[string]string `json:"log" default:"{}" doc:"log level by subsystem, such as {\"keeper\": \"debug\"}; \"all\" sets the default"`
+	Log map[string]string `json:"log,omitempty" default:"{}" doc:"log level by subsystem, such as {\"keeper\": \"debug\"}; \"all\" sets the default"`
 }
 
 // Bounds of grace, as its tags state them.
--- a/emul/layout.go
+++ b/emul/layout.go
@@ -21,17 +21,44 @@
 	Datacentre string
 }
 
-// Layout describes a set of processes on loopback.
-type Layout struct {
-	Places  []Place
-	Hosts   int
+// Service is one service with targets of its own, which hold two replicas of each of its shards.
+type Service struct {
+	Name    string
 	Targets int
 	Shards  int
-	Service string
-	Port    int
 	Slots   int
 	Conns   int
-	Median  units.Duration
+}
+
+// Layout describes a set of processes on loopback.
+type Layout struct {
+	Places []Place
+	// Hosts is the number of hosts in each place.
+	Hosts int
+	Port  int
+	// Median is the median time of a request at a target.
+	Median units.Duration
+	// Services are all services; where there are none, the fields below describe the only one.
+	Services []Service
+	Service  string
+	Targets  int
+	Shards   int
+	Slots    int
+	Conns    int
+}
+
+// services returns the services and whether targets are named by them.
+func (l *Layout) services() (all []Service, named bool) {
+	if len(l.Services) > 0 {
+		return l.Services, true
+	}
+	return []Service{{
+		Name:    l.Service,
+		Targets: l.Targets,
+		Shards:  l.Shards,
+		Slots:   l.Slots,
+		Conns:   l.Conns,
+	}}, false
 }
 
 // TargetFile is a target's settings file.
@@ -58,8 +85,8 @@
 
 // Write writes the settings files of the platform, the hosts and the targets below dir.
 func (l *Layout) Write(dir string) error {
-	if len(l.Places) == 0 || l.Hosts < 1 || l.Targets < 2*len(l.Places) || l.Shards < 1 {
-		return eris.Errorf("a layout needs places, hosts, shards and at least two targets a place")
+	if len(l.Places) < 2 || l.Hosts < 1 {
+		return eris.Errorf("a layout needs two places and a host in each")
 	}
 	platform := PlatformFile{Address: l.address(0), Lag: units.Duration(1e9)}
 	for i := range l.Hosts * len(l.Places) {
@@ -69,11 +96,19 @@
 		}
 		platform.Hosts = append(platform.Hosts, row)
 	}
-	m, err := l.writeTargets(dir)
-	if err != nil {
-		return err
+	services, named := l.services()
+	next := 0
+	for _, s := range services {
+		if s.Targets < 2 || s.Shards < 1 {
+			return eris.Errorf("service %s needs two targets and a shard", s.Name)
+		}
+		m, err := l.writeTargets(dir, s, next, named)
+		if err != nil {
+			return err
+		}
+		next += s.Targets
+		platform.Maps = append(platform.Maps, m)
 	}
-	platform.Maps = []shard.Map{m}
 	return writeFile(filepath.Join(dir, "platform.json"), platform)
 }
 
@@ -99,48 +134,64 @@
 	return row, writeFile(filepath.Join(dir, "hosts", h.Name+".json"), h)
 }
 
-// writeTargets spreads two replicas of each shard over targets of different data centres.
-func (l *Layout) writeTargets(dir string) (shard.Map, error) {
-	m := shard.Map{Service: l.Service, Version: 1, Index: 1}
-	held := make([][]int, l.Targets)
-	for s := range l.Shards {
-		first := s % l.Targets
-		second := (first + 1 + (s/l.Targets)%(len(l.Places)-1)) % l.Targets
-		m.Shards = append(m.Shards, []int{first, second})
-		held[first] = append(held[first], s)
-		held[second] = append(held[second], s)
+// writeTargets spreads two replicas of each shard over targets of different data centres; first counts the targets of all services before.
+func (l *Layout) writeTargets(dir string, s Service, first int, named bool) (shard.Map, error) {
+	m := shard.Map{Service: s.Name, Version: 1, Index: 1}
+	held := make([][]int, s.Targets)
+	for n := range s.Shards {
+		one := n % s.Targets
+		others := l.others(s, one)
+		two := others[(n/s.Targets)%len(others)]
+		m.Shards = append(m.Shards, []int{one, two})
+		held[one] = append(held[one], n)
+		held[two] = append(held[two], n)
 	}
 	base := 1 + portsPerHost*l.Hosts*len(l.Places)
-	for i := range l.Targets {
-		p := l.Places[i%len(l.Places)]
+	for i := range s.Targets {
+		p := l.Places[(first+i)%len(l.Places)]
 		t := shard.Target{
 			Name:       fmt.Sprintf("%s-t%d", p.Datacentre, i/len(l.Places)+1),
-			Address:    l.address(base + i),
+			Address:    l.address(base + first + i),
 			Datacentre: p.Datacentre,
-			Slots:      l.Slots,
-			Conns:      l.Conns,
+			Slots:      s.Slots,
+			Conns:      s.Conns,
+		}
+		if named {
+			t.Name = fmt.Sprintf("%s-t%d", s.Name, i+1)
 		}
 		m.Targets = append(m.Targets, t)
-		if err := writeFile(filepath.Join(dir, "targets", t.Name+".json"), l.targetFile(t, i, held[i])); err != nil {
+		if err := writeFile(filepath.Join(dir, "targets", t.Name+".json"), l.targetFile(t, s, first+i, held[i])); err != nil {
 			return m, err
 		}
 	}
 	return m, nil
 }
 
-func (l *Layout) targetFile(t shard.Target, i int, shards []int) TargetFile {
+// others returns the targets nearest after one that lie in other places, at most one for each place.
+func (l *Layout) others(s Service, one int) []int {
+	var all []int
+	for step := 1; step < s.Targets && len(all) < len(l.Places)-1; step++ {
+		t := (one + step) % s.Targets
+		if t%len(l.Places) != one%len(l.Places) {
+			all = append(all, t)
+		}
+	}
+	return all
+}
+
+func (l *Layout) targetFile(t shard.Target, s Service, i int, shards []int) TargetFile {
 	return TargetFile{
 		Address: t.Address,
 		TargetSettings: TargetSettings{
 			Name:   t.Name,
-			Slots:  l.Slots,
+			Slots:  s.Slots,
 			Cold:   1,
 			Warmup: 20,
 			Median: l.Median,
 			Spread: 0.3,
 			Seed:   uint64(i + 1),
 			Holdings: []Holding{{
-				Service: l.Service,
+				Service: s.Name,
 				Map:     1,
 				Shards:  shards,
 				Indexes: []uint64{1},
--- a/tree/check.go
+++ b/tree/check.go
@@ -45,7 +45,7 @@
 
 func (t *Tree) checkLevel(p Path) []Problem {
 	var all []Problem
-	parts := strings.Split(string(p), "/")
+	parts := p.Parts()
 	if len(parts) > maxDepth || parts[0] != t.Organisation() {
 		all = append(all, Problem{Path: p, Text: "a tree has one organisation, regions below it and services below those"})
 	}
--- a/tree/document.go
+++ b/tree/document.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 
 	"kingcupcross/conf"
 	"kingcupcross/units"
@@ -92,6 +91,11 @@
 	}
 }
 
+// Levels returns the paths of all levels in the file, also of those where nothing is set.
+func (d *Document) Levels() []Path {
+	return slices.Sorted(maps.Keys(d.place))
+}
+
 func (d *Document) check() []error {
 	var all []error
 	for _, p := range d.Tree.Check() {
@@ -116,7 +120,7 @@
 func (t *Tree) Format() []byte {
 	d := document{Organisation: t.Organisation(), Regions: map[string]region{}}
 	for p, l := range t.levels {
-		parts := strings.Split(string(p), "/")
+		parts := p.Parts()
 		if len(parts) == 1 {
 			d.Settings = l
 			continue
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -20,9 +20,14 @@
 	return Path(strings.Join(parts, "/"))
 }
 
+// Parts returns the names in the path, the organisation first.
+func (p Path) Parts() []string {
+	return strings.Split(string(p), "/")
+}
+
 // Levels returns the paths from the organisation down to p.
 func (p Path) Levels() []Path {
-	parts := strings.Split(string(p), "/")
+	parts := p.Parts()
 	levels := make([]Path, 0, len(parts))
 	for i := range parts {
 		levels = append(levels, Join(parts[:i+1]...))
@@ -51,7 +56,7 @@
 // Organisation returns the root's name, or "" for the empty tree.
 func (t *Tree) Organisation() string {
 	for p := range t.levels {
-		return strings.Split(string(p), "/")[0]
+		return p.Parts()[0]
 	}
 	return ""
 }
