--- a/apiv1/callers.go
+++ b/apiv1/callers.go
@@ -87,8 +87,9 @@
 	// Shards is the number of shards there are, Answered the number of those that answered.
 	Shards   int `json:"shards"`
 	Answered int `json:"answered"`
-	// Asked is the number of shards that targets were asked for, with hedges and retries; zero where it isn't counted.
-	Asked   int       `json:"asked"`
+	// First is the number of sub-requests to targets that were planned, Extra that of hedges, retries and new plans on top of them.
+	First   int       `json:"first"`
+	Extra   int       `json:"extra"`
 	Missing []Missing `json:"missing"`
 	Parts   []Part    `json:"parts"`
 }
--- a/cmds/load.go
+++ b/cmds/load.go
@@ -141,7 +141,8 @@
 		Wrong:    !s.right(q, a),
 		Shards:   a.Shards,
 		Answered: a.Answered,
-		Asked:    a.Asked,
+		First:    a.First,
+		Extra:    a.Extra,
 	}
 }
 
--- a/entry/query.go
+++ b/entry/query.go
@@ -47,6 +47,8 @@
 		Snapshot: a.Snapshot,
 		Shards:   a.Total,
 		Answered: len(a.Parts),
+		First:    a.Load.First,
+		Extra:    a.Load.Extra(),
 		Missing:  []apiv1.Missing{},
 		Parts:    make([]apiv1.Part, 0, len(a.Parts)),
 	}
--- a/load/collector.go
+++ b/load/collector.go
@@ -43,7 +43,8 @@
 	lowest   float64
 	whole    int
 	shards   int
-	asked    int
+	first    int
+	extra    int
 }
 
 func newCollector(arrivals int) *collector {
@@ -91,8 +92,9 @@
 	if o.Answered == o.Shards {
 		c.whole++
 	}
-	if o.Asked > 0 {
-		c.asked += o.Asked
+	if o.First > 0 {
+		c.first += o.First
+		c.extra += o.Extra
 		c.shards += o.Shards
 	}
 }
@@ -130,8 +132,11 @@
 	if n := float64(r.Answered); n > 0 {
 		r.Coverage = Coverage{Mean: c.shares / n, Lowest: c.lowest, Whole: float64(c.whole) / n}
 	}
-	if c.shards > 0 {
-		r.Load = float64(c.asked) / float64(c.shards)
+	if c.first > 0 {
+		r.Load = Load{
+			Extra: float64(c.extra) / float64(c.first),
+			Shard: float64(c.first+c.extra) / float64(c.shards),
+		}
 	}
 	return r
 }
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -76,12 +76,12 @@
 	report := withRun(t, planOf(200, 1), never, func(manual *timer.Manual) Query {
 		return func(context.Context) Outcome {
 			manual.Advance(work)
-			return Outcome{Shards: 4, Answered: 4, Asked: 5}
+			return Outcome{Shards: 4, Answered: 4, First: 2, Extra: 1}
 		}
 	})
 	require.Equal(t, 200, report.Answered)
 	require.Greater(t, report.Answers.P99.D(), 50*work, "each query takes one work by itself, but waits for those before it")
-	require.Equal(t, 1.25, report.Load)
+	require.Equal(t, Load{Extra: 0.5, Shard: 0.75}, report.Load)
 	require.Equal(t, Coverage{Mean: 1, Lowest: 1, Whole: 1}, report.Coverage)
 }
 
--- a/load/plan.go
+++ b/load/plan.go
@@ -72,8 +72,9 @@
 	// Shards is the number of shards there are, Answered the number of those that answered.
 	Shards   int
 	Answered int
-	// Asked is the number of shards asked of targets, with hedges and retries; zero means that it isn't known.
-	Asked int
+	// First is the number of planned sub-requests to targets, Extra that of those on top of them; zero First means that it isn't known.
+	First int
+	Extra int
 }
 
 // Query sends one query and returns when its final answer has come or the context ends.
--- a/load/report.go
+++ b/load/report.go
@@ -48,6 +48,14 @@
 	Whole float64 `json:"whole"`
 }
 
+// Load gives sub-requests to targets; both figures are zero where the system doesn't say.
+type Load struct {
+	// Extra is the number of hedges, retries and new plans per planned sub-request.
+	Extra float64 `json:"extra"`
+	// Shard is the number of all sub-requests per shard asked; one sub-request may ask for several shards.
+	Shard float64 `json:"shard"`
+}
+
 // Report is the outcome of one run.
 type Report struct {
 	Plan     Plan           `json:"plan"`
@@ -64,8 +72,7 @@
 	Answers  Quantiles `json:"answers"`
 	Refusal  Quantiles `json:"refusal"`
 	Coverage Coverage  `json:"coverage"`
-	// Load is the number of shards asked of targets per shard of the queries: 1 without any extra load, 0 where the system doesn't say.
-	Load float64 `json:"load"`
+	Load     Load      `json:"load"`
 }
 
 // Save writes the report to a file as JSON.
@@ -116,7 +123,7 @@
 	for _, k := range slices.Sorted(maps.Keys(r.Refusals)) {
 		rows = append(rows, count("  "+k, r.Refusals[k]))
 	}
-	return append(rows,
+	rows = append(rows,
 		count("lost", r.Lost),
 		count("wrong", r.Wrong),
 		duration("p50", r.Answers.P50),
@@ -127,15 +134,11 @@
 		share("coverage", r.Coverage.Mean),
 		share("  lowest", r.Coverage.Lowest),
 		share("  whole answers", r.Coverage.Whole),
-		r.loadRow(),
 	)
-}
-
-func (r *Report) loadRow() row {
-	if r.Load == 0 {
-		return row{name: "sub-requests per shard", text: "not known"}
+	if r.Load.Shard == 0 {
+		return append(rows, row{name: "extra load", text: "not known"})
 	}
-	return share("sub-requests per shard", r.Load)
+	return append(rows, share("extra load", r.Load.Extra), share("  sub-requests per shard", r.Load.Shard))
 }
 
 // Print writes the report as a table.
--- a/query/explain.go
+++ b/query/explain.go
@@ -1,10 +1,12 @@
 package query
 
 import (
+	"fmt"
+	"time"
+
 	"kingcupcross/apiv1"
 	"kingcupcross/fault"
 	"kingcupcross/shard"
-	"kingcupcross/wire"
 )
 
 // Explain says how a query of a service would be routed now; it fails with fault.NoService.
@@ -19,45 +21,59 @@
 		Snapshot: m.Snapshot(),
 		Change:   e.board.Tree.Load().N,
 	}
-	table := e.links.Table()
+	r := &run{engine: e, service: e.service(service)}
+	p := r.planner(m)
 	for s := range m.Shards {
-		chosen, found := e.replica(m, table, s, nil)
-		x.Shards = append(x.Shards, e.explainShard(m, table.Keeper, s, chosen, found))
+		x.Shards = append(x.Shards, p.explain(s))
 	}
 	return x, nil
 }
 
-func (e *Engine) explainShard(m *shard.Map, keeperOf func(string) (wire.Member, bool), s, chosen int, found bool) apiv1.Route {
+// explain gives the replicas of shard s in the order of the map.
+func (p *planner) explain(s int) apiv1.Route {
 	r := apiv1.Route{Shard: s}
-	for _, t := range m.Shards[s] {
-		target := m.Targets[t]
-		k, kept := keeperOf(target.Name)
+	chosen := p.replica(s, nil)
+	for _, t := range p.m.Shards[s] {
+		target := p.m.Targets[t]
+		k, _ := p.keeper(target.Name)
 		r.Replicas = append(r.Replicas, apiv1.Replica{
 			Target:     target.Name,
 			Datacentre: target.Datacentre,
 			Keeper:     k.Name,
-			Chosen:     found && t == chosen,
-			Why:        e.why(target, k, kept, found && t == chosen),
+			Chosen:     chosen != nil && chosen.target == t,
+			Why:        p.why(target, p.way(t), chosen),
 		})
 	}
 	return r
 }
 
+// scoreStep rounds times that people read.
+const scoreStep = 100 * time.Microsecond
+
+var places = map[int]string{
+	ownDatacentre: "in this host's data centre",
+	ownRegion:     "in this host's region",
+	elsewhere:     "in another region",
+}
+
 // why says in a few words what speaks for or against a replica.
-func (e *Engine) why(t shard.Target, k wire.Member, kept, chosen bool) string {
-	near := t.Datacentre == e.board.Self.Datacentre
-	switch {
-	case !kept:
+func (p *planner) why(t shard.Target, c, chosen *candidate) string {
+	if c == nil {
+		if _, kept := p.keeper(t.Name); kept {
+			return "its data centre is out"
+		}
 		return "its data centre has no living host"
-	case e.board.Tree.Load().Out(k.Region, t.Datacentre):
-		return "its data centre is out"
-	case chosen && near:
-		return "in this host's data centre"
-	case chosen:
-		return "the first of those that can be asked"
-	case near:
-		return "in this host's data centre, in reserve"
+	}
+	text := places[c.rank]
+	if score := p.score(c); score > 0 {
+		text += fmt.Sprintf(", a reply takes about %s", score.Round(scoreStep))
+	}
+	switch {
+	case c.target != chosen.target && c.rank < chosen.rank:
+		return text + ", but the other is much faster"
+	case c.target != chosen.target:
+		return text + ", in reserve for a hedge or a retry"
 	default:
-		return "in reserve: for a retry or a hedge"
+		return text
 	}
 }
