--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,85 @@
+package admin
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap/zapcore"
+
+	"kingcupcross/apiv1"
+	"kingcupcross/board"
+	"kingcupcross/fault"
+	"kingcupcross/logs"
+	"kingcupcross/meter"
+	"kingcupcross/timer"
+	"kingcupcross/wire"
+)
+
+// withAdmin serves the operators' interface of a host that keeps nothing.
+func withAdmin(t *testing.T, f func(get func(method, path, body string) (int, string), l *logs.Logs)) {
+	t.Helper()
+	clock, _ := timer.NewManual(time.Unix(1000, 0))
+	l, err := logs.New("a1", nil)
+	require.NoError(t, err)
+	m := meter.New()
+	defer m.Close()
+	b := board.New(clock, wire.Member{HostID: wire.HostID{Name: "a1"}, Datacentre: "aarhus"})
+	explain := func(service string) (*apiv1.Explanation, error) {
+		if service != "dispatch" {
+			return nil, fault.New(fault.NoService, "no shard map of %q", service)
+		}
+		return &apiv1.Explanation{Service: service, Host: "a1"}, nil
+	}
+	server := httptest.NewServer(New(b, nil, m, l, explain).Handler())
+	defer server.Close()
+	f(func(method, path, body string) (int, string) {
+		req, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+		require.NoError(t, err)
+		resp, err := server.Client().Do(req)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode, string(text)
+	}, l)
+}
+
+func TestLogLevelsAreChangedWholeOrNotAtAll(t *testing.T) {
+	withAdmin(t, func(get func(method, path, body string) (int, string), l *logs.Logs) {
+		keeper := l.For("keeper")
+		code, body := get(http.MethodPut, apiv1.PathLogs, `{"levels": {"keeper": "debug"}}`)
+		require.Equal(t, http.StatusOK, code)
+		require.Contains(t, body, `"keeper":"debug"`)
+		require.True(t, keeper.Core().Enabled(zapcore.DebugLevel))
+		for _, wrong := range []string{`{"levels": {"keeper": "error", "barn": "info"}}`, `{"levels": {"keeper": "loud"}}`, `[`} {
+			code, body = get(http.MethodPut, apiv1.PathLogs, wrong)
+			require.Equal(t, http.StatusBadRequest, code, body)
+		}
+		_, body = get(http.MethodGet, apiv1.PathLogs, "")
+		require.Contains(t, body, `"keeper":"debug"`)
+	})
+}
+
+func TestExplainPassesRefusalsOn(t *testing.T) {
+	withAdmin(t, func(get func(method, path, body string) (int, string), _ *logs.Logs) {
+		code, body := get(http.MethodGet, apiv1.PathExplain+"?service=dispatch", "")
+		require.Equal(t, http.StatusOK, code)
+		require.Contains(t, body, `"host":"a1"`)
+		code, body = get(http.MethodGet, apiv1.PathExplain+"?service=barns", "")
+		require.Equal(t, http.StatusNotFound, code)
+		require.Contains(t, body, `"kind":"noservice","notrun":true`)
+	})
+}
+
+func TestMetricsAreShownAsText(t *testing.T) {
+	withAdmin(t, func(get func(method, path, body string) (int, string), _ *logs.Logs) {
+		code, body := get(http.MethodGet, apiv1.PathMetrics, "")
+		require.Equal(t, http.StatusOK, code)
+		require.Contains(t, body, "# TYPE go_goroutines gauge")
+	})
+}
--- a/cmds/fleet.go
+++ b/cmds/fleet.go
@@ -14,6 +14,8 @@
 	"github.com/rotisserie/eris"
 
 	"kingcupcross/apiv1"
+	"kingcupcross/store"
+	"kingcupcross/timer"
 	"kingcupcross/wire"
 )
 
@@ -28,6 +30,8 @@
 type Watched struct {
 	Admin []netip.AddrPort `required:"" env:"KINGCUPCROSS_ADMIN" help:"Operators' addresses of one or more hosts; the others are learnt from them."`
 	JSON  bool             `help:"Print JSON."`
+	// Platform is an option here: the hosts' own view is enough once they know each other.
+	Platform netip.AddrPort `env:"KINGCUPCROSS_PLATFORM" help:"Address of the platform's store; hosts that only its list names are shown as unseen."`
 }
 
 // HostView is one host as it describes itself, or as others see it where it gives no answer.
@@ -59,6 +63,7 @@
 	if len(byName) == 0 {
 		return nil, failed
 	}
+	w.noteListed(ctx, byName)
 	askAll(ctx, byName)
 	all := make([]HostView, 0, len(byName))
 	for _, h := range byName {
@@ -91,6 +96,25 @@
 	h.Status, h.Change = s, s.Change
 }
 
+// unseen is the state of a host that the platform lists and no host that was asked knows.
+const unseen = "unseen"
+
+// noteListed adds the hosts that only the platform knows, such as those that start; its list is a hint, so its silence is no error.
+func (w *Watched) noteListed(ctx context.Context, byName map[string]*HostView) {
+	if !w.Platform.IsValid() {
+		return
+	}
+	hosts, err := store.New(timer.New(), w.Platform).Hosts(ctx)
+	if err != nil {
+		return
+	}
+	for _, h := range hosts {
+		if byName[h.Name] == nil && h.State == store.Live {
+			byName[h.Name] = &HostView{Name: h.Name, Datacentre: h.Datacentre, State: unseen}
+		}
+	}
+}
+
 func askAll(ctx context.Context, byName map[string]*HostView) {
 	var group sync.WaitGroup
 	room := make(chan struct{}, asksAtOnce)
--- a/cmds/load.go
+++ b/cmds/load.go
@@ -26,7 +26,7 @@
 
 // LoadCmd sends queries at random times that don't wait for answers.
 type LoadCmd struct {
-	Host     []netip.AddrPort `required:"" help:"Callers' addresses of the hosts; queries go to them in turn."`
+	Host     []netip.AddrPort `required:"" env:"KINGCUPCROSS_HOST" help:"Callers' addresses of the hosts; queries go to them in turn."`
 	Service  string           `arg:"" help:"The service."`
 	Payload  string           `default:"load" help:"The query's text; each query's number is added."`
 	Deadline units.Duration   `help:"Time for an answer, such as 150ms; the service's own by default."`
--- a/cmds/wait.go
+++ b/cmds/wait.go
@@ -98,6 +98,8 @@
 	switch {
 	case gone(h):
 		return h.State
+	case h.State == unseen:
+		return "unseen"
 	case h.Status == nil:
 		return "no answer"
 	case h.Change >= change:
