--- a/_scripts/fleet.sh
+++ b/_scripts/fleet.sh
@@ -21,15 +21,25 @@
   echo $! >"$dir/pids/$name"
 }
 
-# end sends a signal and waits until the process has gone.
-end() { # dir name [signal]
-  local file=$1/pids/$2 id
-  id=$(cat "$file")
-  kill "-${3:-TERM}" "$id" 2>/dev/null || true
-  while kill -0 "$id" 2>/dev/null; do sleep 0.05; done
+# runs says whether a process still runs; one that has ended but wasn't reaped yet doesn't.
+runs() { # id
+  local state
+  state=$(ps -o stat= -p "$1") || return 1
+  [[ $state != Z* ]]
+}
+
+# gone waits until a process has ended.
+gone() { # dir name
+  local file=$1/pids/$2
+  while runs "$(cat "$file")"; do sleep 0.05; done
   rm -f "$file"
 }
 
+end() { # dir name [signal]
+  kill "-${3:-TERM}" "$(cat "$1/pids/$2")" 2>/dev/null || true
+  gone "$1" "$2"
+}
+
 start() { # dir flags...
   local dir=$1 f
   shift
@@ -46,14 +56,16 @@
 }
 
 stop() { # dir
-  local dir=$1 f name
-  for f in "$dir"/hosts/*.json; do
-    name=$(basename "$f" .json)
-    if [ -f "$dir/pids/$name" ]; then kill -TERM "$(cat "$dir/pids/$name")" 2>/dev/null || true; fi
-  done
-  for f in "$dir"/hosts/*.json "$dir"/targets/*.json "$dir/platform.json"; do
-    name=$(basename "$f" .json)
-    if [ -f "$dir/pids/$name" ]; then end "$dir" "$name"; fi
+  local dir=$1 f name kind
+  local -a some
+  for kind in hosts/*.json targets/*.json platform.json; do
+    some=()
+    for f in "$dir"/$kind; do
+      name=$(basename "$f" .json)
+      if [ -f "$dir/pids/$name" ]; then some+=("$name"); fi
+    done
+    for name in "${some[@]}"; do kill -TERM "$(cat "$dir/pids/$name")" 2>/dev/null || true; done
+    for name in "${some[@]}"; do gone "$dir" "$name"; done
   done
   echo "all processes ended"
 }
