--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -67,6 +67,7 @@
 	dialer := wire.NewDialer()
 	defer dialer.Close()
 	k := keeper.New(clock, b, zap.NewNop(), tally.NoopScope)
+	k.Assume()
 	platform := store.New(clock, netip.MustParseAddrPort("127.0.0.1:1"))
 	book := order.New(clock, b, keeper.NewLinks("h", k, dialer), dialer, platform, zap.NewNop(), tally.NoopScope)
 	fr.Entry = New(clock, b, nil, book, zap.NewNop(), tally.NoopScope)
--- a/keeper/ask_test.go
+++ b/keeper/ask_test.go
@@ -86,7 +86,9 @@
 		})
 	}
 	b.PutMap(m)
-	f(New(clock, b, zap.NewNop(), tally.NoopScope), slow, manual)
+	k := New(clock, b, zap.NewNop(), tally.NoopScope)
+	k.Assume()
+	f(k, slow, manual)
 }
 
 func newAnswering() *answering {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,9 @@
 
 // gate returns the gate of a target that this host keeps or claims.
 func (k *Keeper) gate(service, name string) (*gate, *fault.Error) {
+	if !k.policy.asks {
+		k.tend(context.Background())
+	}
 	if g := (*k.gates.Load())[name]; g != nil {
 		return g, nil
 	}
@@ -120,6 +124,13 @@
 	k.gates.Store(&next)
 }
 
+// Assume makes this host keep each target that its table gives it, warm and without a word to others, for tests of other parts.
+func (k *Keeper) Assume() {
+	k.board.Join()
+	k.policy.asks = false
+	k.policy.cold = func(int, int) int { return math.MaxInt }
+}
+
 // Table returns the keepers of all targets by the newest view and maps.
 func (k *Keeper) Table() *Table {
 	return k.choice.load()
@@ -128,16 +139,19 @@
 // leavePoll is the time between two looks at whether all targets have been taken over.
 const leavePoll = 20 * time.Millisecond
 
-// Leave lets the other hosts take the targets over and returns once they have and all requests have ended, or with the context's error; afterwards nothing more is sent.
+// Leave lets the other hosts take the targets over and returns once they have and the requests here have ended, with the context's error where that ends first; where the data centre has no other host it returns at once and the targets stay with this one.
 func (k *Keeper) Leave(ctx context.Context) error {
 	k.leaving.Store(true)
-	defer k.halt()
 	tick := k.clock.Every(leavePoll)
 	defer tick.Stop()
 	for k.keepsAny() {
+		if len(k.choice.load().sites[k.board.Self.Datacentre].others(k.board.Self.Name)) == 0 {
+			return nil
+		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
+			k.halt()
 			return ctx.Err()
 		}
 	}
--- a/keeper/learn.go
+++ b/keeper/learn.go
@@ -106,6 +106,9 @@
 
 // doubtOverdue raises a doubt where a request has been without a reply for much longer than the mean; the lock is held.
 func (g *gate) doubtOverdue(now time.Time) {
+	if g.ramp.mean == 0 {
+		return
+	}
 	slow := max(slowFactor*g.ramp.mean, slowFloor)
 	for _, p := range g.flying {
 		if now.Sub(p.sent) > slow && p.sent.After(g.ramp.fell) {
--- a/keeper/table.go
+++ b/keeper/table.go
@@ -67,6 +67,14 @@
 	return "", nil
 }
 
+// others returns the hosts besides one that can be keepers.
+func (s *site) others(name string) []wire.Member {
+	if s == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(s.hosts), func(m wire.Member) bool { return m.Name == name })
+}
+
 // newTable chooses the keepers for a view and maps and takes over from the old table what has not changed.
 func newTable(old *Table, view *board.View, all *board.Maps) *Table {
 	t := &Table{
--- a/order/fleet_test.go
+++ b/order/fleet_test.go
@@ -121,6 +121,7 @@
 	still, pause := timer.NewManual(time.Unix(1000, 0))
 	b.Pulse = board.NewPulse(still)
 	k := keeper.New(fl.clock, b, zap.NewNop(), tally.NoopScope)
+	k.Assume()
 	n := &node{server: wire.NewServer(l), dialer: wire.NewDialer(), pause: func() { pause.Jump(2 * board.PulseLimit) }}
 	n.Book = New(fl.clock, b, keeper.NewLinks(name, k, n.dialer), n.dialer, platform, zap.NewNop(), tally.NoopScope)
 	guard(&n.guards)
