--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -74,6 +74,9 @@
 	if k.board.SelfOut() {
 		return fault.New(fault.Out, "data centre %s is out", k.board.Self.Datacentre)
 	}
+	if !k.policy.awake() {
+		return fault.New(fault.Paused, "%s was paused", k.board.Self.Name)
+	}
 	return nil
 }
 
@@ -127,7 +130,8 @@
 // Assume makes this host keep each target that its table gives it, warm and without a word to others, for tests of other parts.
 func (k *Keeper) Assume() {
 	k.board.Join()
-	k.policy.asks = false
+	k.policy.asks, k.policy.confirms, k.policy.sticks = false, false, false
+	k.policy.share = func(limit int, _ *census) int { return limit }
 	k.policy.cold = func(int, int) int { return math.MaxInt }
 }
 
--- a/keeper/remote.go
+++ b/keeper/remote.go
@@ -64,6 +64,9 @@
 
 // NewLinks returns the way to all keepers from the host self and lets its own keeper call the others.
 func NewLinks(self string, own *Keeper, dialer *wire.Dialer) *Links {
+	if own == nil {
+		return &Links{self: self, dialer: dialer}
+	}
 	own.call = func(ctx context.Context, m wire.Member, q wire.Yield) (r wire.YieldReply, err error) {
 		err = dialer.Call(ctx, m.Peers, Remote+".Yield", q, &r)
 		return r, err
