--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -330,7 +330,7 @@
 	if outcome == lost && now.Before(p.deadline) {
 		g.haunt(now, ghost{id: p.id, until: p.deadline})
 	}
-	sign := g.learn(now, p, s, err, outcome)
+	sign := g.learn(now, p, s, err)
 	g.dispatch()
 	g.mu.Unlock()
 	if outcome == lost && p.id != "" {
--- a/keeper/learn.go
+++ b/keeper/learn.go
@@ -11,7 +11,10 @@
 )
 
 // learn draws the conclusions from the end of a request and returns the process that gave its first sign of leaving, or zero; the lock is held.
-func (g *gate) learn(now time.Time, p *pass, s target.State, err error, o outcome) (sign uint64) {
+func (g *gate) learn(now time.Time, p *pass, s target.State, err error) (sign uint64) {
+	if !g.keeper.policy.hears {
+		s = target.State{}
+	}
 	sign = g.hear(now, s)
 	g.witness(now, p, s)
 	var refusal *target.Refusal
--- a/keeper/policy.go
+++ b/keeper/policy.go
@@ -47,6 +47,8 @@
 	silence time.Duration
 	// cold returns the limit of a cold target from the settings and what the target states.
 	cold func(settings, stated int) int
+	// hears says whether what the target states in its replies counts.
+	hears bool
 	// doubts says whether a failed or slow reply and a lost connection make a target count as cold.
 	doubts bool
 	// witness says whether work that the target tells of and that isn't this host's takes room.
@@ -68,6 +70,7 @@
 		lostFlight: flightLimit,
 		silence:    detectLimit + board.PulseLimit + flightLimit,
 		cold:       coldLimit,
+		hears:      true,
 		doubts:     true,
 		witness:    true,
 		sticks:     true,
--- a/target/client.go
+++ b/target/client.go
@@ -32,7 +32,7 @@
 	transport *http.Transport
 	// matches says whether a reply's id is that of the request; it is a seam for tests.
 	matches func(asked, got string) bool
-	lost      atomic.Pointer[func()]
+	lost    atomic.Pointer[func()]
 }
 
 // NewClient returns a client for the target at address with at most conns connections.
