--- a/keeper/bench_test.go
+++ b/keeper/bench_test.go
@@ -61,8 +61,7 @@
 var errLost = errors.New("no answer")
 
 // withHost runs f with one host that knows no other.
-func withHost(t *testing.T, self wire.Member, f func(*host)) {
-	t.Helper()
+func withHost(self wire.Member, f func(*host)) {
 	clock, _ := timer.NewManual(start)
 	f(newHost(clock, self))
 }
--- /dev/null
+++ b/keeper/slope_test.go
@@ -0,0 +1,216 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupcross/board"
+	"kingcupcross/target"
+	"kingcupcross/wire"
+)
+
+// processorTime returns the processor time of this process so far.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// processor reports the processor time of an operation in microseconds.
+func processor(b *testing.B, f func()) {
+	before := processorTime(b)
+	for b.Loop() {
+		f()
+	}
+	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// BenchmarkSlopeChange measures the choice of keepers after one host has gone, by hosts, data centres and targets.
+func BenchmarkSlopeChange(b *testing.B) {
+	for _, c := range []struct{ hosts, datacentres, targets, perService int }{
+		{hosts: 9, datacentres: 3, targets: 110, perService: 10},
+		{hosts: 50, datacentres: 6, targets: 396, perService: 99},
+		{hosts: 157, datacentres: 1, targets: 1089, perService: 99},
+		{hosts: 940, datacentres: 6, targets: 6336, perService: 99},
+		{hosts: 940, datacentres: 6, targets: 6336, perService: 12},
+	} {
+		b.Run(fmt.Sprintf("hosts=%d/targets=%d/perservice=%d", c.hosts, c.targets, c.perService), func(b *testing.B) {
+			v, all := fleet(c.hosts, c.datacentres, c.targets, c.perService)
+			old := newTable(nil, v, all)
+			next := &board.View{Members: map[string]wire.Member{}}
+			for name, m := range v.Members {
+				if name == "h000" {
+					m.State = wire.Dead
+				}
+				next.Members[name] = m
+			}
+			moved := 0
+			changed := newTable(old, next, all)
+			for name, k := range old.keepers {
+				if changed.keepers[name].Name != k.Name {
+					moved++
+				}
+			}
+			processor(b, func() { newTable(old, next, all) })
+			b.ReportMetric(float64(moved), "moved")
+		})
+	}
+}
+
+// BenchmarkSlopeLoad measures reading the choice on a request's path.
+func BenchmarkSlopeLoad(b *testing.B) {
+	for _, hosts := range []int{9, 157, 940} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			v, all := fleet(hosts, 1, hosts*7, 7)
+			withHost(v.Members["h000"], func(h *host) {
+				h.board.Maps.Update(func(*board.Maps) *board.Maps { return all })
+				h.board.View.Update(func(*board.View) *board.View { return v })
+				processor(b, func() { h.keeper.Table().Keeper("t0003") })
+			})
+		})
+	}
+}
+
+// echo answers for a keeper with parts of 200 bytes.
+type echo struct{}
+
+const partSize = 200
+
+// Ask answers each part at once.
+func (echo) Ask(q wire.Ask, r *wire.AskReply) error {
+	for _, p := range q.Parts {
+		r.Results = append(r.Results, wire.Result{
+			Target:   p.Target,
+			Snapshot: q.Snapshot,
+			Parts:    []target.Part{target.NewPart(p.Shards[0], make([]byte, partSize))},
+		})
+	}
+	return nil
+}
+
+// BenchmarkSlopeHop measures a call of a keeper with 1, 4 and 16 parts, both sides together.
+func BenchmarkSlopeHop(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	s := wire.NewServer(l)
+	require.NoError(b, s.Register(Remote, echo{}))
+	go s.Serve()
+	defer s.Close()
+	d := wire.NewDialer()
+	defer d.Close()
+	address := netip.MustParseAddrPort(l.Addr().String())
+	for _, parts := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("parts=%d", parts), func(b *testing.B) {
+			q := wire.Ask{ID: "q1", Service: "s1", Payload: make([]byte, partSize), Left: time.Second, Soft: time.Second}
+			for i := range parts {
+				q.Parts = append(q.Parts, wire.Part{Target: fmt.Sprintf("t%04d", i), Shards: []int{i}})
+			}
+			processor(b, func() {
+				var r wire.AskReply
+				require.NoError(b, d.Call(context.Background(), address, Remote+".Ask", q, &r))
+			})
+		})
+	}
+}
+
+// BenchmarkSlopeDirect measures one exchange with a target over HTTP, both sides together.
+func BenchmarkSlopeDirect(b *testing.B) {
+	answer := []byte(`{"id":"q1","snapshot":{"map":1,"index":1},"state":{},"parts":[]}`)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Write(answer)
+		w.Write(bytes.Repeat([]byte{' '}, partSize))
+	}))
+	defer server.Close()
+	c := target.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()), 4)
+	processor(b, func() {
+		_, err := c.Query(context.Background(), target.Query{ID: "q1", Service: "s1", Shards: []int{1}, Payload: make([]byte, partSize)})
+		require.NoError(b, err)
+	})
+}
+
+// BenchmarkSlopeAdmission measures a pass through a gate, with and without others that wait.
+func BenchmarkSlopeAdmission(b *testing.B) {
+	for _, waiting := range []int{0, 16, 64} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			v, all := fleet(1, 1, 7, 7)
+			withHost(v.Members["h000"], func(h *host) {
+				h.board.Maps.Update(func(*board.Maps) *board.Maps { return all })
+				h.keeper.Assume()
+				g, f := h.keeper.gate("s0000", "t0003")
+				require.Nil(b, f)
+				for range waiting {
+					g.queue.put(&waiter{class: wire.Bulk, deadline: start.Add(time.Hour), ended: make(chan verdict, 1)})
+				}
+				state := target.State{Process: 1, Phase: target.Warm, Limit: 3, Busy: 1}
+				deadline := start.Add(time.Minute)
+				processor(b, func() {
+					g.mu.Lock()
+					p := g.admit(start, deadline)
+					g.mu.Unlock()
+					p.done(state, nil)
+					if waiting > 0 {
+						g.mu.Lock()
+						for len(g.flying) > 0 {
+							g.take(g.flying[0])
+						}
+						for len(g.queue.waiters) < waiting {
+							g.queue.put(&waiter{class: wire.Bulk, deadline: start.Add(time.Hour), ended: make(chan verdict, 1)})
+						}
+						g.mu.Unlock()
+					}
+				})
+			})
+		})
+	}
+}
+
+// BenchmarkSlopeMemory measures the memory of a kept target and of a target's row in the table.
+func BenchmarkSlopeMemory(b *testing.B) {
+	for _, targets := range []int{110, 1100, 6600} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			v, all := fleet(1, 1, targets, 11)
+			withHost(v.Members["h000"], func(h *host) {
+				h.board.Maps.Update(func(*board.Maps) *board.Maps { return all })
+				h.board.Join()
+				h.keeper.policy.asks = false
+				var gates, table float64
+				for b.Loop() {
+					h.keeper.choice.table.Store(nil)
+					h.keeper.gates.Store(&map[string]*gate{})
+					before := heap()
+					h.keeper.Table()
+					between := heap()
+					h.keeper.mu.Lock()
+					for name := range h.keeper.Table().keepers {
+						service, row := h.keeper.Table().target(name)
+						h.keeper.ensure(service, *row)
+					}
+					h.keeper.mu.Unlock()
+					gates, table = float64(heap()-between), float64(between-before)
+				}
+				b.ReportMetric(gates/float64(targets), "B/gate")
+				b.ReportMetric(table/float64(targets), "B/row")
+			})
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/keeper/table_test.go
+++ b/keeper/table_test.go
@@ -132,7 +132,7 @@
 
 func TestChooserFollowsTheBoard(t *testing.T) {
 	v, all := fleet(6, 2, 12, 6)
-	withHost(t, v.Members["h000"], func(h *host) {
+	withHost(v.Members["h000"], func(h *host) {
 		h.board.Maps.Update(func(*board.Maps) *board.Maps { return all })
 		h.board.View.Update(func(*board.View) *board.View { return v })
 		first := h.keeper.Table()
