--- a/keeper/learn.go
+++ b/keeper/learn.go
@@ -11,7 +11,10 @@
 )
 
 // learn draws the conclusions from the end of a request and returns the process that gave its first sign of leaving, or zero; the lock is held.
-func (g *gate) learn(now time.Time, p *pass, s target.State, err error, o outcome) (sign uint64) {
+func (g *gate) learn(now time.Time, p *pass, s target.State, err error) (sign uint64) {
+	if !g.keeper.policy.hears {
+		s = target.State{}
+	}
 	sign = g.hear(now, s)
 	g.witness(now, p, s)
 	var refusal *target.Refusal
@@ -106,6 +109,9 @@
 
 // doubtOverdue raises a doubt where a request has been without a reply for much longer than the mean; the lock is held.
 func (g *gate) doubtOverdue(now time.Time) {
+	if g.ramp.mean == 0 {
+		return
+	}
 	slow := max(slowFactor*g.ramp.mean, slowFloor)
 	for _, p := range g.flying {
 		if now.Sub(p.sent) > slow && p.sent.After(g.ramp.fell) {
