--- a/peers/join.go
+++ b/peers/join.go
@@ -289,9 +289,11 @@
 // hearTable takes in all that another host knows.
 func (p *Peers) hearTable(t *wire.Table) {
 	p.mu.Lock()
-	p.merge(t.From, true)
+	p.merge(t.From, true, true)
+	// What a neighbour's table holds is on its way already, or the neighbours' digests differ as well.
+	tell := t.From.Datacentre != p.board.Self.Datacentre
 	for _, m := range t.Members {
-		p.merge(m, false)
+		p.merge(m, false, tell)
 	}
 	p.mu.Unlock()
 	p.publish()
--- a/peers/news.go
+++ b/peers/news.go
@@ -118,9 +118,9 @@
 // hear takes in a message of another host.
 func (p *Peers) hear(g *wire.Gossip) {
 	p.mu.Lock()
-	p.merge(g.From, true)
+	p.merge(g.From, true, true)
 	for _, m := range g.News {
-		p.merge(m, false)
+		p.merge(m, false, true)
 	}
 	for _, m := range g.Marks {
 		p.mark(m.Host, m.Settings)
@@ -139,8 +139,8 @@
 	p.Heard(g.From, g.Heads)
 }
 
-// merge takes in one record; direct says that it came from the host itself.
-func (p *Peers) merge(m wire.Member, direct bool) {
+// merge takes in one record; direct says that it came from the host itself, and tell that this data centre's hosts may not know it yet.
+func (p *Peers) merge(m wire.Member, direct, tell bool) {
 	if m.Name == p.board.Self.Name {
 		p.refute(&m)
 		return
@@ -161,11 +161,11 @@
 		// News of the death of a host that was never known, or is forgotten.
 		return
 	}
-	p.accept(m)
+	p.accept(m, tell)
 }
 
 // accept puts a record in force and on its way.
-func (p *Peers) accept(m wire.Member) {
+func (p *Peers) accept(m wire.Member, tell bool) {
 	now := p.clock.Now()
 	old := p.table.rows[m.Name]
 	changed := old == nil || old.member.State != m.State || old.member.Incarnation != m.Incarnation
@@ -173,16 +173,18 @@
 	if m.State == wire.Suspect {
 		r.verdict = now.Add(p.suspicion())
 	}
-	p.spreadNews(&r.member)
+	p.spreadNews(&r.member, tell)
 	p.dirty = true
 	if changed && (m.State != wire.Suspect || old == nil) {
 		p.changes = append(p.changes, r.member)
 	}
 }
 
-// spreadNews queues a record for this data centre and, unless it is a mere suspicion, for the others that this host tells.
-func (p *Peers) spreadNews(m *wire.Member) {
-	p.news.add(m.Name)
+// spreadNews queues a record for this data centre, where tell says so, and for the others that this host tells unless it is a mere suspicion.
+func (p *Peers) spreadNews(m *wire.Member, tell bool) {
+	if tell {
+		p.news.add(m.Name)
+	}
 	if m.State == wire.Suspect {
 		return
 	}
@@ -219,7 +221,7 @@
 		p.board.Pulse.Fence()
 	case m.Incarnation == own.Incarnation && m.State != own.State && m.Supersedes(own):
 		own.Refutation = m.Refutation + 1
-		p.spreadNews(own)
+		p.spreadNews(own, true)
 		p.dirty = true
 		p.scope.Counter("refutations").Inc(1)
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -176,7 +176,7 @@
 		}
 		m := r.member
 		m.State = wire.Dead
-		p.accept(m)
+		p.accept(m, true)
 	}
 	p.table.forget(now)
 }
@@ -269,7 +269,7 @@
 	p.mu.Lock()
 	own := p.table.rows[p.board.Self.Name].member
 	own.State = wire.Leaving
-	p.spreadNews(&p.table.put(own, p.clock.Now()).member)
+	p.spreadNews(&p.table.put(own, p.clock.Now()).member, true)
 	p.dirty = true
 	told := p.table.pick(p.neighbour)
 	for _, members := range p.elsewhere().members {
--- a/peers/probe.go
+++ b/peers/probe.go
@@ -116,7 +116,7 @@
 	m.State, m.Proof = state, proof
 	switch {
 	case m.Supersedes(&r.member):
-		p.accept(m)
+		p.accept(m, true)
 	case state == wire.Suspect && r.member.State == wire.Leaving && r.verdict.IsZero():
 		// A leaving host stays leaving until it is gone, but not for ever where its end was silent.
 		r.verdict = p.clock.Now().Add(p.suspicion())
--- a/peers/slope_test.go
+++ b/peers/slope_test.go
@@ -172,7 +172,7 @@
 					m.Name = fmt.Sprintf("host-%d", i)
 					m.State = wire.Alive
 					m.Datacentre = string(rune('a' + i%6))
-					p.accept(m)
+					p.accept(m, false)
 				}
 				b.ReportAllocs()
 				for b.Loop() {
