--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,9 +59,9 @@
 // Handler returns the routes of the callers' interface.
 func (e *Entry) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+apiv1.PathQuery, e.admit(e.query))
-	mux.HandleFunc("POST "+apiv1.PathOrder, e.admit(e.order))
-	mux.HandleFunc("POST "+apiv1.PathTickets, e.admit(e.tickets))
+	mux.HandleFunc("POST "+apiv1.PathQuery, e.admit(e.query, certain))
+	mux.HandleFunc("POST "+apiv1.PathOrder, e.admit(e.order, order.Unsure))
+	mux.HandleFunc("POST "+apiv1.PathTickets, e.admit(e.tickets, certain))
 	mux.HandleFunc("GET "+apiv1.PathReady, e.ready)
 	return mux
 }
@@ -81,8 +81,13 @@
 
 type handler func(ctx context.Context, r request) (any, error)
 
-// admit reads the request whole and answers in one form whatever the handler returns.
-func (e *Entry) admit(h handler) http.HandlerFunc {
+// certain leaves a refusal as it is: nothing of a request ran whose body could not be read.
+func certain(f *fault.Error) *fault.Error {
+	return f
+}
+
+// admit reads the request whole and answers in one form whatever the handler returns; unread says what is certain where the body can't be read, since an order may be a repeat.
+func (e *Entry) admit(h handler, unread func(*fault.Error) *fault.Error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.open.Add(1)
 		defer e.open.Add(-1)
@@ -91,7 +96,16 @@
 			w.Header().Set("Connection", "close")
 		}
 		id := fmt.Sprintf("%s/%d", e.board.Self.HostID, e.serial.Add(1))
-		answer, err := e.handle(w, r, h, request{id: id, refused: e.refuse()})
+		q := request{id: id, refused: e.refuse()}
+		body, f := e.read(w, r)
+		var answer any
+		var err error
+		if f != nil {
+			err = unread(f)
+		} else {
+			q.body = body
+			answer, err = h(r.Context(), q)
+		}
 		e.limit(http.NewResponseController(w).SetWriteDeadline, answerTimeout)
 		if err != nil {
 			e.fail(w, id, err)
@@ -113,7 +127,8 @@
 	}
 }
 
-func (e *Entry) handle(w http.ResponseWriter, r *http.Request, h handler, q request) (any, error) {
+// read returns the request's body, whole and matching its checksum if it has one.
+func (e *Entry) read(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
 	control := http.NewResponseController(w)
 	e.limit(control.SetWriteDeadline, 0)
 	e.limit(control.SetReadDeadline, e.body)
@@ -133,8 +148,7 @@
 	if sum := r.Header.Get(apiv1.SumHeader); sum != "" && sum != sumOf(body) {
 		return nil, fault.New(fault.Invalid, "the body doesn't match its checksum %q", sum)
 	}
-	q.body = body
-	return h(r.Context(), q)
+	return body, nil
 }
 
 // refuse says why this host takes no new request, or nil.
--- a/entry/order.go
+++ b/entry/order.go
@@ -46,7 +46,7 @@
 func (e *Entry) order(ctx context.Context, r request) (any, error) {
 	var o apiv1.Order
 	if err := json.Unmarshal(r.body, &o); err != nil {
-		return nil, fault.New(fault.Invalid, "%v", err)
+		return nil, malformed(r.body, err)
 	}
 	values := e.board.Tree.Load().For(e.board.Self.Region, o.Service)
 	ticket, err := e.ticketOf(o)
@@ -81,6 +81,19 @@
 	}, nil
 }
 
+// malformed refuses an order that can't be decoded; it may be a repeat unless it is seen to have neither ticket nor key.
+func malformed(body []byte, err error) *fault.Error {
+	f := fault.New(fault.Invalid, "%v", err)
+	var named struct {
+		Ticket string `json:"ticket"`
+		Key    string `json:"key"`
+	}
+	if json.Unmarshal(body, &named) != nil || named.Ticket != "" || named.Key != "" {
+		return order.Unsure(f)
+	}
+	return f
+}
+
 // run leaves it to the book whether a refusal may say that nothing ran, since the order may be a repeat.
 func (e *Entry) run(ctx context.Context, o apiv1.Order, f *fault.Error, w wire.Order) wire.OrderReply {
 	switch {
--- a/order/own.go
+++ b/order/own.go
@@ -84,6 +84,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ledger.settle(sequence, r, reply)
+	b.scope.Gauge("records").Update(float64(len(b.ledger.records)))
+	b.scope.Gauge("recordbytes").Update(float64(b.ledger.kept))
 	b.scope.Tagged(map[string]string{"outcome": outcomeName(reply)}).Counter("settled").Inc(1)
 	b.under--
 	if b.under == 0 && b.closed {
