--- a/timer/manual.go
+++ b/timer/manual.go
@@ -95,3 +95,27 @@
 	defer m.mu.Unlock()
 	return len(m.events)
 }
+
+// Follow moves the clock on with another one's time, rate times as fast, until the returned function ends it.
+func (m *Manual) Follow(s *Service, rate int) (stop func()) {
+	tick := s.Every(time.Millisecond)
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		last := s.Now()
+		for {
+			select {
+			case now := <-tick.C:
+				m.Advance(time.Duration(rate) * now.Sub(last))
+				last = now
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		tick.Stop()
+		close(done)
+		<-ended
+	}
+}
