--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -44,6 +44,7 @@
 func withFront(t *testing.T, f func(*front)) {
 	t.Helper()
 	clock := timer.New()
+	fast, manual := timer.NewManual(time.Unix(1000, 0))
 	fr := &front{t: t, target: emul.NewTarget(clock, emul.TargetSettings{Name: "t", Slots: 4, Cold: 4})}
 	server := httptest.NewServer(fr.target.Handler())
 	defer server.Close()
@@ -66,7 +67,9 @@
 	b.Pulse = board.NewPulse(still)
 	dialer := wire.NewDialer()
 	defer dialer.Close()
-	k := keeper.New(clock, b, zap.NewNop(), tally.NoopScope)
+	b.Join()
+	k := keeper.New(fast, b, zap.NewNop(), tally.NoopScope)
+	settle(t, clock, manual, k)
 	platform := store.New(clock, netip.MustParseAddrPort("127.0.0.1:1"))
 	book := order.New(clock, b, keeper.NewLinks("h", k, dialer), dialer, platform, zap.NewNop(), tally.NoopScope)
 	fr.Entry = New(clock, b, nil, book, zap.NewNop(), tally.NoopScope)
@@ -79,6 +82,26 @@
 	f(fr)
 }
 
+// settle lets the keeper's time run fast, since it waits for seconds before it takes a target.
+func settle(t *testing.T, clock *timer.Service, manual *timer.Manual, k *keeper.Keeper) {
+	ctx, cancel := context.WithCancel(t.Context())
+	stop := manual.Follow(clock, 20)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		k.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		stop()
+	})
+	require.Eventually(t, func() bool {
+		kept := k.Gates()
+		return len(kept) == 1 && kept[0].Hold == "held"
+	}, 20*time.Second, time.Millisecond)
+}
+
 func (f *front) set(key, value string) {
 	f.board.Tree.Update(func(t *tree.Tree) *tree.Tree {
 		next, err := t.Apply(tree.Change{
