--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,6 +28,7 @@
 	Platform platformCmd `cmd:"" help:"Run the platform's store and list of hosts."`
 	Target   targetCmd   `cmd:"" help:"Run one target."`
 	Layout   layoutCmd   `cmd:"" help:"Write the settings files of a set of processes on loopback."`
+	Trial    trialCmd    `cmd:"" help:"Compare query policies under one load and one fault each, in this process."`
 }
 
 func main() {
--- a/emul/layout.go
+++ b/emul/layout.go
@@ -99,17 +99,23 @@
 	return row, writeFile(filepath.Join(dir, "hosts", h.Name+".json"), h)
 }
 
-// writeTargets spreads two replicas of each shard over targets of different data centres.
-func (l *Layout) writeTargets(dir string) (shard.Map, error) {
-	m := shard.Map{Service: l.Service, Version: 1, Index: 1}
-	held := make([][]int, l.Targets)
-	for s := range l.Shards {
-		first := s % l.Targets
-		second := (first + 1 + (s/l.Targets)%(len(l.Places)-1)) % l.Targets
+// Spread puts two replicas of each shard on targets of different data centres, where the targets take turns over the places; it returns a map without targets and the shards that each target holds.
+func Spread(service string, shards, targets, places int) (m shard.Map, held [][]int) {
+	m = shard.Map{Service: service, Version: 1, Index: 1}
+	held = make([][]int, targets)
+	for s := range shards {
+		first := s % targets
+		second := (first + 1 + (s/targets)%(places-1)) % targets
 		m.Shards = append(m.Shards, []int{first, second})
 		held[first] = append(held[first], s)
 		held[second] = append(held[second], s)
 	}
+	return m, held
+}
+
+// writeTargets writes the settings files of the targets and returns their map.
+func (l *Layout) writeTargets(dir string) (shard.Map, error) {
+	m, held := Spread(l.Service, l.Shards, l.Targets, len(l.Places))
 	base := 1 + portsPerHost*l.Hosts*len(l.Places)
 	for i := range l.Targets {
 		p := l.Places[i%len(l.Places)]
