--- a/emul/layout.go
+++ b/emul/layout.go
@@ -136,16 +136,7 @@
 
 // writeTargets spreads two replicas of each shard over targets of different data centres; first counts the targets of all services before.
 func (l *Layout) writeTargets(dir string, s Service, first int, named bool) (shard.Map, error) {
-	m := shard.Map{Service: s.Name, Version: 1, Index: 1}
-	held := make([][]int, s.Targets)
-	for n := range s.Shards {
-		one := n % s.Targets
-		others := l.others(s, one)
-		two := others[(n/s.Targets)%len(others)]
-		m.Shards = append(m.Shards, []int{one, two})
-		held[one] = append(held[one], n)
-		held[two] = append(held[two], n)
-	}
+	m, held := Spread(s.Name, s.Shards, s.Targets, len(l.Places))
 	base := 1 + portsPerHost*l.Hosts*len(l.Places)
 	for i := range s.Targets {
 		p := l.Places[(first+i)%len(l.Places)]
@@ -167,12 +158,27 @@
 	return m, nil
 }
 
+// Spread puts two replicas of each shard on targets of different data centres, where the targets take turns over the places; it returns a map without targets and the shards that each target holds.
+func Spread(service string, shards, targets, places int) (m shard.Map, held [][]int) {
+	m = shard.Map{Service: service, Version: 1, Index: 1}
+	held = make([][]int, targets)
+	for n := range shards {
+		one := n % targets
+		all := others(targets, places, one)
+		two := all[(n/targets)%len(all)]
+		m.Shards = append(m.Shards, []int{one, two})
+		held[one] = append(held[one], n)
+		held[two] = append(held[two], n)
+	}
+	return m, held
+}
+
 // others returns the targets nearest after one that lie in other places, at most one for each place.
-func (l *Layout) others(s Service, one int) []int {
+func others(targets, places, one int) []int {
 	var all []int
-	for step := 1; step < s.Targets && len(all) < len(l.Places)-1; step++ {
-		t := (one + step) % s.Targets
-		if t%len(l.Places) != one%len(l.Places) {
+	for step := 1; step < targets && len(all) < places-1; step++ {
+		t := (one + step) % targets
+		if t%places != one%places {
 			all = append(all, t)
 		}
 	}
