keeper, host: requests wait a moment for a hand-over

With the keeper's full queue, a graceful stop refused the queued queries as moved while the next keeper was still claiming (TestGracefulStopCutsOffNothing, keeper with a full queue, without sending them again). A claiming gate now queues them for 300 ms.

--- a/keeper/claim.go
+++ b/keeper/claim.go
@@ -131,6 +131,7 @@
 	g.hold, g.pauses = claiming, pauses
 	g.claim = &claim{number: k.claims, began: now, answered: map[wire.HostID]uint64{}}
 	k.count.claims.Inc(1)
+	g.wake(handOverTime)
 }
 
 // has reports whether a peer has given the target up since it was last silent.
@@ -308,6 +309,7 @@
 	g.handed, g.heir = time.Time{}, heir{}
 	k.count.kept.Inc(1)
 	k.say("target is kept here", g)
+	g.dispatch()
 }
 
 // free reports whether every other host has given the target up, has ended, or is silent for the fencing time, and whether the requests of lost keepers have ended too; the locks are held.
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -148,6 +148,9 @@
 	}
 	now := g.keeper.clock.Now()
 	g.doubtOverdue(now)
+	if g.hold == claiming {
+		return g.wait(now, class, deadline)
+	}
 	room := g.allowed(now)
 	if room == 0 {
 		return nil, nil, fault.New(fault.NoReplica, "this host's share of %s is none while hosts are cut off", g.name).After(time.Second)
@@ -204,6 +207,8 @@
 // refusal returns why no request may go to the target now, or nil; the lock is held.
 func (g *gate) refusal() *fault.Error {
 	switch {
+	case g.hold == claiming && g.keeper.clock.Since(g.claim.began) < handOverTime:
+		return nil
 	case g.hold == claiming:
 		return fault.New(fault.Moved, "%s is being taken over", g.name)
 	case g.hold == idle || g.keeper.stopped.Load():
@@ -216,6 +221,9 @@
 
 // allowed returns how many requests of all kinds may run at the target by this host; the lock is held.
 func (g *gate) allowed(now time.Time) int {
+	if g.hold != held {
+		return 0
+	}
 	c := g.keeper.census.Load()
 	n := g.keeper.policy.share(min(g.ramp.limit, g.target.Slots), c)
 	if n == 0 && c.isolated(now) && now.Sub(g.witnessed) >= isolationTime {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -41,6 +41,8 @@
 	census atomic.Pointer[census]
 	// leaving says that this host claims nothing more, and stopped that it sends nothing more.
 	leaving atomic.Bool
+	// tending says that a request has begun a look at what is to be claimed.
+	tending atomic.Bool
 	stopped atomic.Bool
 
 	mu     sync.Mutex
@@ -100,6 +102,14 @@
 		return nil, fault.New(fault.Moved, "%s is not in the shard map of %s", name, service)
 	}
 	owner, _ := k.choice.load().Keeper(name)
+	if owner.Name == k.board.Self.Name && k.tending.CompareAndSwap(false, true) {
+		// The view is newer than the last look at what is to be claimed.
+		k.tend(context.Background())
+		k.tending.Store(false)
+	}
+	if g := (*k.gates.Load())[name]; g != nil {
+		return g, nil
+	}
 	return nil, fault.New(fault.Moved, "%s is kept by %s", name, owner.Name)
 }
 
--- a/keeper/policy.go
+++ b/keeper/policy.go
@@ -19,6 +19,8 @@
 	slowFactor = 8
 	// slowFloor is the shortest time that counts as slow.
 	slowFloor = 100 * time.Millisecond
+	// handOverTime is the time in which a hand-over by the last keeper comes; requests wait for it that long.
+	handOverTime = 300 * time.Millisecond
 	// endGrace is the time that a target may take to end a request after it has accepted the cancellation.
 	endGrace = 10 * time.Millisecond
 	// checkTimeout bounds a read of a target's state endpoint.
