--- a/keeper/slope_test.go
+++ b/keeper/slope_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -69,6 +70,40 @@
 	}
 }
 
+// BenchmarkSlopeSame measures a new view in which no host came or went.
+func BenchmarkSlopeSame(b *testing.B) {
+	for _, hosts := range []int{9, 157, 940} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			v, all := fleet(hosts, 3, hosts*7/33*33, 33)
+			old := newTable(nil, v, all)
+			next := &board.View{Members: maps.Clone(v.Members)}
+			processor(b, func() { newTable(old, next, all) })
+		})
+	}
+}
+
+// BenchmarkSlopeTend measures a look at what is to be claimed where nothing is, by the hosts of the data centre.
+func BenchmarkSlopeTend(b *testing.B) {
+	for _, hosts := range []int{3, 50, 157} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			v, all := fleet(hosts, 1, hosts*7, 7)
+			withHost(v.Members["h001"], func(h *host) {
+				h.board.Maps.Update(func(*board.Maps) *board.Maps { return all })
+				h.board.View.Update(func(*board.View) *board.View { return v })
+				h.keeper.call = func(_ context.Context, m wire.Member, _ wire.Yield) (wire.YieldReply, error) {
+					return wire.YieldReply{From: m.HostID}, nil
+				}
+				h.keeper.policy.lostFlight = 0
+				for range 3 {
+					h.keeper.tend(context.Background())
+				}
+				processor(b, func() { h.keeper.tend(context.Background()) })
+				b.ReportMetric(float64(len(h.keeper.Gates())), "kept")
+			})
+		})
+	}
+}
+
 // BenchmarkSlopeLoad measures reading the choice on a request's path.
 func BenchmarkSlopeLoad(b *testing.B) {
 	for _, hosts := range []int{9, 157, 940} {
--- a/keeper/table.go
+++ b/keeper/table.go
@@ -86,6 +86,7 @@
 	var sameMaps bool
 	t.layouts, sameMaps = layOuts(old, *all)
 	hosts := living(view)
+	same := sameMaps && old != nil && len(hosts) == len(old.sites)
 	for _, datacentre := range slices.Sorted(maps.Keys(hosts)) {
 		var s *site
 		if sameMaps && old != nil {
@@ -94,7 +95,14 @@
 		if s == nil || !slices.Equal(s.hosts, hosts[datacentre]) {
 			s = newSite(hosts[datacentre], blocksOf(t.layouts, datacentre))
 		}
+		same = same && s == old.sites[datacentre]
 		t.sites[datacentre] = s
+	}
+	if same {
+		t.keepers = old.keepers
+		return t
+	}
+	for _, s := range t.sites {
 		maps.Copy(t.keepers, s.keepers)
 	}
 	return t
