query: keep a reserve of the hedge budget for the very late

Cause: hedges of ordinary lateness (5% by the quantile) used up the whole budget (5%), so that a straggler's sub-requests went without.

--- a/query/attempt.go
+++ b/query/attempt.go
@@ -38,7 +38,9 @@
 
 const (
 	first purpose = iota
+	// hedge follows a late reply, urgentHedge a very late one.
 	hedge
+	urgentHedge
 	// retry follows a failure that cost the target no work, paidRetry one that may have.
 	retry
 	paidRetry
--- a/query/budget.go
+++ b/query/budget.go
@@ -7,8 +7,10 @@
 
 // Limits of a budget, in sub-requests.
 const (
-	budgetStart = 10
+	budgetStart = 30
 	budgetMax   = 100
+	// budgetReserve is kept for the sub-requests that are very late.
+	budgetReserve = 20
 )
 
 // budget holds the extra sub-requests that may be sent: each planned one earns a share, each extra one costs one.
@@ -32,13 +34,13 @@
 	b.tokens = min(b.tokens+float64(n)*share, budgetMax)
 }
 
-// spend takes one extra sub-request from the budget and reports whether there was room.
-func (b *budget) spend(now time.Time) bool {
+// spend takes one extra sub-request from the budget and reports whether there was room above the reserve.
+func (b *budget) spend(now time.Time, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tokens = min(b.tokens+b.floor*now.Sub(b.last).Seconds(), budgetMax)
 	b.last = now
-	if b.tokens < 1 {
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
--- a/query/hedge.go
+++ b/query/hedge.go
@@ -13,6 +13,8 @@
 	graceShare = 2
 	// againShare is the part of the delay after which a hedge is tried again that the budget denied.
 	againShare = 2
+	// urgentFactor is how many delays a reply must be late before its hedge may use the budget's reserve.
+	urgentFactor = 2
 )
 
 // tick hedges what is late, asks again for what the budget denied, and sets the next alarm.
@@ -30,19 +32,26 @@
 // hedge asks another replica for the shards of the flights that are late; a hedge itself may be hedged where a further replica is left.
 func (a *attempt) hedge(ctx context.Context) {
 	now := a.engine.clock.Now()
-	var shards []int
+	var late, urgent []int
 	for _, c := range a.calls {
-		if !c.late && now.Sub(c.sent) < a.delay+a.delay/graceShare {
+		age := now.Sub(c.sent) - a.delay/graceShare
+		if !c.late && age < a.delay {
 			continue
 		}
 		for _, f := range c.flights {
-			if !f.ended {
-				shards = append(shards, a.hedgeable(f)...)
+			switch {
+			case f.ended:
+			case age < urgentFactor*a.delay:
+				late = append(late, a.hedgeable(f)...)
+			default:
+				urgent = append(urgent, a.hedgeable(f)...)
 			}
 		}
 	}
-	slices.Sort(shards)
-	a.send(ctx, slices.Compact(shards), hedge)
+	slices.Sort(urgent)
+	a.send(ctx, urgent, urgentHedge)
+	slices.Sort(late)
+	a.send(ctx, late, hedge)
 }
 
 // hedgeable returns the shards that only this flight can bring and that have another replica.
--- a/query/send.go
+++ b/query/send.go
@@ -44,9 +44,11 @@
 	case why == first:
 		a.service.planned(len(chosen), a.values.Extra)
 	case why == hedge:
-		a.pay(chosen, a.service.hedges)
+		a.pay(chosen, a.service.hedges, budgetReserve)
+	case why == urgentHedge:
+		a.pay(chosen, a.service.hedges, 0)
 	case why == paidRetry:
-		for _, shards := range a.pay(chosen, a.service.retries) {
+		for _, shards := range a.pay(chosen, a.service.retries, 0) {
 			a.denied = append(a.denied, shards...)
 		}
 	}
@@ -54,9 +56,9 @@
 }
 
 // pay takes each sub-request from the budget and returns those for which there was no room.
-func (a *attempt) pay(chosen map[int][]int, b *budget) (denied [][]int) {
+func (a *attempt) pay(chosen map[int][]int, b *budget, reserve float64) (denied [][]int) {
 	for _, t := range slices.Sorted(maps.Keys(chosen)) {
-		if !b.spend(a.engine.clock.Now()) {
+		if !b.spend(a.engine.clock.Now(), reserve) {
 			denied = append(denied, chosen[t])
 			delete(chosen, t)
 		}
--- a/query/straggler_test.go
+++ b/query/straggler_test.go
@@ -43,7 +43,7 @@
 	withEngine(t, func(b *bench) {
 		b.keepers.replicas["t2"].late = true
 		s := b.service(service1)
-		s.hedges.tokens = 1
+		s.hedges.tokens = budgetReserve + 1
 		b.keepers.onAsk = func(_ wire.Ask, asked int) {
 			if asked == 2 {
 				b.keepers.let("t2")
@@ -76,8 +76,8 @@
 		s.hedges.tokens = 0
 		s.planned(100, 0.05)
 	}
-	require.True(t, calm.hedges.spend(now))
-	require.False(t, shedding.hedges.spend(now))
+	require.True(t, calm.hedges.spend(now, 0))
+	require.False(t, shedding.hedges.spend(now, 0))
 }
 
 func TestPausedKeeperCostsNoCoverage(t *testing.T) {
@@ -203,3 +203,23 @@
 	open := m.add([]int{0}, wire.Result{Target: "t0", Snapshot: at(1, 1), Parts: []target.Part{target.NewPart(99, nil)}})
 	require.Equal(t, []int{0}, open)
 }
+
+// TestReserveIsForTheVeryLate shows that ordinary lateness can't use up what a straggler needs; it steps one attempt by hand.
+func TestReserveIsForTheVeryLate(t *testing.T) {
+	withEngine(t, func(b *bench) {
+		b.keepers.replicas["t2"].late = true
+		b.service(service1).hedges.tokens = budgetReserve / 2
+		v := b.Engine.board.Tree.Load().For("jylland", service1)
+		a := newAttempt(newRun(b.Engine, Request{Service: service1}, v, time.Second, 0), testMap(1, 1, shardCount))
+		a.delay = 100 * time.Millisecond
+		a.send(t.Context(), a.all(), first)
+		a.take(t.Context(), <-a.replies)
+		require.Zero(t, a.load.Hedges)
+		b.manual.Advance(2 * a.delay)
+		a.tick(t.Context())
+		require.Zero(t, a.load.Hedges)
+		b.manual.Advance(a.delay)
+		a.tick(t.Context())
+		require.Equal(t, 2, a.load.Hedges)
+	})
+}
--- a/query/types.go
+++ b/query/types.go
@@ -38,7 +38,7 @@
 
 func (l *Load) add(n int, why purpose, replanned bool) {
 	switch {
-	case why == hedge:
+	case why == hedge || why == urgentHedge:
 		l.Hedges += n
 	case why != first:
 		l.Retries += n
