query: try a slow target again after 5 s half-lives instead of 1 s

Cause: each host tried the straggler again about every 4 s, which at 7 queries/s a host is 1 query in 27, more than the 1 in 100 that p99 bears.

--- a/query/latency.go
+++ b/query/latency.go
@@ -89,7 +89,7 @@
 	// weight is the share of a new latency in an estimate.
 	weight = 0.3
 	// halfLife is the time after which half of a high estimate is forgotten, so that a slow target is tried again.
-	halfLife = time.Second
+	halfLife = 5 * time.Second
 )
 
 // estimate follows one latency: it moves with each sample and decays towards the typical one between them.
