--- a/cmd/standin/trial.go
+++ b/cmd/standin/trial.go
@@ -23,6 +23,7 @@
 	Shards   int               `default:"100" help:"Shards of the service."`
 	Slots    int               `default:"3" help:"Slots of each target."`
 	Conns    int               `default:"100" help:"Connections of each target."`
+	Warmup   int               `default:"20" help:"Requests after which a target is warm."`
 	Median   units.Duration    `default:"5ms" help:"Median time of a request at a target."`
 	Spread   float64           `default:"0.3" help:"Standard deviation of the logarithm of the times."`
 	Seed     uint64            `default:"1" help:"Seed of arrivals and times."`
@@ -57,6 +58,7 @@
 			Shards:  c.Shards,
 			Slots:   c.Slots,
 			Conns:   c.Conns,
+			Warmup:  c.Warmup,
 			Median:  c.Median.D(),
 			Spread:  c.Spread,
 			Seed:    c.Seed,
--- a/query/service.go
+++ b/query/service.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// hedgeShare is the part of the extra load that is for hedges; the rest is for retries.
+	hedgeShare = 0.8
 	// retryFloor is the number of retries per second that a service may always send.
 	retryFloor = 10
 	// shedWeight is the share of one reply in the rate at which targets shed.
@@ -48,8 +50,8 @@
 	s.mu.RLock()
 	share := extra * max(0, 1-s.shed/shedCut)
 	s.mu.RUnlock()
-	s.hedges.earn(n, share)
-	s.retries.earn(n, share)
+	s.hedges.earn(n, share*hedgeShare)
+	s.retries.earn(n, share*(1-hedgeShare))
 }
 
 // learn takes the results of one reply; a target that failed counts as if it had been late.
--- a/trial/site.go
+++ b/trial/site.go
@@ -36,6 +36,8 @@
 	Shards  int
 	Slots   int
 	Conns   int
+	// Warmup is the number of requests after which a target is warm.
+	Warmup int
 	// Median and Spread describe the targets' log-normal times.
 	Median time.Duration
 	Spread float64
@@ -119,7 +121,7 @@
 			Name:   fmt.Sprintf("%s-t%d", places[i%len(places)].Datacentre, i/len(places)+1),
 			Slots:  size.Slots,
 			Cold:   1,
-			Warmup: 20,
+			Warmup: size.Warmup,
 			Median: units.Duration(size.Median),
 			Spread: size.Spread,
 			Seed:   size.Seed + uint64(i),
