--- a/cmds/change.go
+++ b/cmds/change.go
@@ -49,12 +49,12 @@
 
 // change reads the newest tree, lets f say what to change and appends that as one change; it never retries over another operator's change.
 func change(ctx context.Context, out io.Writer, w *spread.Writer, s Signed, f editor) error {
-	t, changes, err := w.Read(ctx, tree.Empty())
+	t, err := w.Latest(ctx)
 	if err != nil {
 		return err
 	}
 	if s.IfChange != nil && *s.IfChange != t.N {
-		return &ConflictError{Base: *s.IfChange, Others: changes[min(*s.IfChange, uint64(len(changes))):]}
+		return conflictSince(ctx, w, *s.IfChange)
 	}
 	ops, err := f(t)
 	if err != nil {
@@ -70,18 +70,22 @@
 		_, err := fmt.Fprintf(out, "change %d accepted (id %s)\n", c.N, c.ID)
 		return err
 	case fault.Is(err, fault.Conflict):
-		return conflictSince(ctx, w, t, err)
+		return conflictSince(ctx, w, t.N)
 	default:
 		return err
 	}
 }
 
-func conflictSince(ctx context.Context, w *spread.Writer, t *tree.Tree, cause error) error {
-	_, others, err := w.Read(ctx, t)
+// shownChanges bounds the changes that a conflict shows.
+const shownChanges = 20
+
+// conflictSince returns the conflict with the changes made since number base; where they can't be read, it shows none.
+func conflictSince(ctx context.Context, w *spread.Writer, base uint64) error {
+	others, err := w.History(ctx, base, shownChanges)
 	if err != nil {
-		return cause
+		others = nil
 	}
-	return &ConflictError{Base: t.N, Others: others}
+	return &ConflictError{Base: base, Others: others}
 }
 
 // SetCmd sets one key at one level.
@@ -159,7 +163,7 @@
 	w := c.writer()
 	var base *tree.Tree
 	err := withTimeout(func(ctx context.Context) (err error) {
-		base, _, err = w.Read(ctx, tree.Empty())
+		base, err = w.Latest(ctx)
 		return err
 	})
 	if err != nil {
--- a/cmds/change_test.go
+++ b/cmds/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -178,6 +179,21 @@
 	})
 }
 
+func TestHistoryIsReadFromItsEnd(t *testing.T) {
+	withOperators(t, func(o *operators) {
+		for i := range 40 {
+			o.good("settings", "set", "saltlade", "coverage", fmt.Sprintf("0.%02d", i+1))
+		}
+		require.Equal(t, 3, strings.Count(o.good("settings", "history", "--last", "3"), "(id "))
+		require.Equal(t, 41, strings.Count(o.good("settings", "history", "--last", "0"), "(id "))
+		first := o.good("settings", "history", "--last", "0")
+		id := first[strings.Index(first, "(id ")+4 : strings.Index(first, ")\n")]
+		require.Contains(t, o.good("settings", "history", "--id", id), "saltlade extra: (inherited) -> 0.05")
+		require.Contains(t, o.good("settings", "get", "saltlade"), "change 41")
+		require.Contains(t, o.good("settings", "diff", "--from", "39"), "saltlade coverage: 0.38 -> 0.40")
+	})
+}
+
 func TestDiffAndGet(t *testing.T) {
 	withOperators(t, func(o *operators) {
 		o.good("settings", "set", "saltlade", "coverage", "0.1")
--- a/cmds/docs_test.go
+++ b/cmds/docs_test.go
@@ -13,7 +13,7 @@
 		require.Equal(t, ExitOK, code, problems)
 		committed, err := os.ReadFile(file)
 		require.NoError(t, err)
-		require.Equal(t, out, string(committed), "run go generate ./cmds")
+		require.True(t, out == string(committed), "%s differs: run go generate ./cmds", file)
 	}
 }
 
--- a/cmds/fleet_test.go
+++ b/cmds/fleet_test.go
@@ -64,7 +64,7 @@
 	}
 	first.status.Change = 5
 	first.status.Out = []string{"odense"}
-	first.status.Kept = []apiv1.Kept{{Target: shard.Target{Name: "t1", Datacentre: "aarhus", Slots: 3}, Limit: 2}}
+	first.status.Kept = []apiv1.Kept{{Target: shard.Target{Name: "t1", Datacentre: "aarhus", Slots: 3}, Hold: "held", Phase: "cold", Limit: 2}}
 	f(addressOf(one).String(), first, second)
 }
 
@@ -117,7 +117,7 @@
 		code, out, problems := runIt("status", "--admin", admin)
 		require.Equal(t, ExitOK, code, problems)
 		require.Regexp(t, `roskilde +r1 +alive +no answer +1`, out)
-		require.Regexp(t, `aarhus +t1 +a1 +0 +2 +3`, out)
+		require.Regexp(t, `aarhus +t1 +a1 +held +cold +0 +2 +3 +0`, out)
 		require.Contains(t, out, "changes in force: 1 to 5; out: odense")
 
 		_, out, _ = runIt("status", "--admin", admin, "--json")
--- a/cmds/load.go
+++ b/cmds/load.go
@@ -14,8 +14,6 @@
 	"sync/atomic"
 	"syscall"
 
-	"github.com/rotisserie/eris"
-
 	"kingcupcross/apiv1"
 	"kingcupcross/emul"
 	"kingcupcross/fault"
@@ -152,7 +150,7 @@
 		return load.Outcome{Refused: f.Kind.String()}
 	}
 	var failed *net.OpError
-	if errors.As(eris.Cause(err), &failed) && failed.Op == "dial" {
+	if errors.As(err, &failed) && failed.Op == "dial" {
 		return load.Outcome{Refused: unreachable}
 	}
 	return load.Outcome{Lost: true}
--- a/cmds/read.go
+++ b/cmds/read.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kingcupcross/conf"
+	"kingcupcross/spread"
 	"kingcupcross/tree"
 )
 
@@ -71,7 +72,7 @@
 // Run prints the settings and, for people, the number of the newest change.
 func (c *GetCmd) Run(out io.Writer) error {
 	return withTimeout(func(ctx context.Context) error {
-		t, _, err := c.writer().Read(ctx, tree.Empty())
+		t, err := c.writer().Latest(ctx)
 		if err != nil {
 			return err
 		}
@@ -111,24 +112,19 @@
 type HistoryCmd struct {
 	Operator
 	ID   string `help:"Show only the change with this id, to learn whether it took effect."`
-	Last int    `help:"Show only that many of the newest changes."`
+	Last uint64 `default:"50" help:"Show that many of the newest changes; 0 shows all."`
 }
 
+// historyPage is the number of changes that are read at once.
+const historyPage = 200
+
 // Run prints the changes, the oldest first.
 func (c *HistoryCmd) Run(out io.Writer) error {
 	return withTimeout(func(ctx context.Context) error {
-		_, changes, err := c.writer().Read(ctx, tree.Empty())
+		changes, err := c.find(ctx)
 		if err != nil {
 			return err
 		}
-		if c.ID != "" {
-			if changes = withID(changes, c.ID); len(changes) == 0 {
-				return &AbsentError{ID: c.ID}
-			}
-		}
-		if c.Last > 0 && c.Last < len(changes) {
-			changes = changes[len(changes)-c.Last:]
-		}
 		if c.JSON {
 			return printJSON(out, changes)
 		}
@@ -139,13 +135,51 @@
 	})
 }
 
-func withID(changes []tree.Change, id string) []tree.Change {
-	for _, g := range changes {
-		if g.ID == id {
-			return []tree.Change{g}
+func (c *HistoryCmd) find(ctx context.Context) ([]tree.Change, error) {
+	w := c.writer()
+	t, err := w.Latest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if c.ID != "" {
+		return withID(ctx, w, t.N, c.ID)
+	}
+	first := uint64(0)
+	if c.Last > 0 && c.Last < t.N {
+		first = t.N - c.Last
+	}
+	return changesAfter(ctx, w, first)
+}
+
+// changesAfter returns all changes after number n, which are read page by page.
+func changesAfter(ctx context.Context, w *spread.Writer, n uint64) ([]tree.Change, error) {
+	all := []tree.Change{}
+	for {
+		page, err := w.History(ctx, n, historyPage)
+		if err != nil || len(page) == 0 {
+			return all, err
+		}
+		all = append(all, page...)
+		n = page[len(page)-1].N
+	}
+}
+
+// withID looks for a change from the newest backwards, since the fate of a new one is what operators ask for.
+func withID(ctx context.Context, w *spread.Writer, newest uint64, id string) ([]tree.Change, error) {
+	for end := newest; end > 0; {
+		first := end - min(end, historyPage)
+		page, err := w.History(ctx, first, int(end-first))
+		if err != nil {
+			return nil, err
+		}
+		for _, g := range page {
+			if g.ID == id {
+				return []tree.Change{g}, nil
+			}
 		}
+		end = first
 	}
-	return nil
+	return nil, &AbsentError{ID: id}
 }
 
 // AbsentError says that no change with an id is in the audit trail.
--- a/cmds/status.go
+++ b/cmds/status.go
@@ -94,10 +94,11 @@
 
 func printTargets(out io.Writer, hosts []HostView) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "DATA CENTRE\tTARGET\tKEPT BY\tBUSY\tLIMIT\tSLOTS")
+	fmt.Fprintln(table, "DATA CENTRE\tTARGET\tKEPT BY\tHOLD\tPHASE\tBUSY\tLIMIT\tSLOTS\tQUEUE\tWHY")
 	for _, r := range keptBy(hosts) {
 		t := r.kept.Target
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\n", t.Datacentre, t.Name, r.host, r.kept.Busy, r.kept.Limit, t.Slots)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n",
+			t.Datacentre, t.Name, r.host, r.kept.Hold, r.kept.Phase, r.kept.Busy, r.kept.Limit, t.Slots, r.kept.Queue, r.kept.Why)
 	}
 	fmt.Fprintln(table)
 	return table.Flush()
--- a/cmds/wait.go
+++ b/cmds/wait.go
@@ -7,6 +7,9 @@
 	"text/tabwriter"
 	"time"
 
+	"kingcupcross/fault"
+	"kingcupcross/spread"
+	"kingcupcross/store"
 	"kingcupcross/timer"
 	"kingcupcross/units"
 	"kingcupcross/wire"
@@ -15,7 +18,7 @@
 // WaitCmd waits until a change is in force.
 type WaitCmd struct {
 	Watched
-	Change  uint64         `arg:"" help:"Number of the change."`
+	Change  uint64         `arg:"" optional:"" help:"Number of the change; the newest in the store by default, for which --platform must be given."`
 	Timeout units.Duration `default:"6s" help:"Longest time to wait."`
 }
 
@@ -38,6 +41,9 @@
 // Run asks all hosts again and again and prints which change each has in force.
 func (c *WaitCmd) Run(out io.Writer) error {
 	clock := timer.New()
+	if err := c.newest(clock); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout.D()+adminTimeout)
 	defer cancel()
 	start := clock.Now()
@@ -67,6 +73,24 @@
 	}
 }
 
+// newest asks the store for the newest change where none was given.
+func (c *WaitCmd) newest(clock *timer.Service) error {
+	if c.Change > 0 {
+		return nil
+	}
+	if !c.Platform.IsValid() {
+		return fault.New(fault.Invalid, "give the number of a change, or --platform to wait for the newest one")
+	}
+	return withTimeout(func(ctx context.Context) error {
+		t, err := spread.NewWriter(clock, store.New(clock, c.Platform)).Latest(ctx)
+		if err != nil {
+			return err
+		}
+		c.Change = t.N
+		return nil
+	})
+}
+
 // behind counts the hosts where the change isn't known to be in force; a dead or leaving host needs no settings.
 func behind(hosts []HostView, change uint64) int {
 	n := 0
