--- a/cmd/kingcupcross/process_test.go
+++ b/cmd/kingcupcross/process_test.go
@@ -11,6 +11,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -296,6 +298,37 @@
 	return all
 }
 
+// bound requires that no target has had more work than it bore.
+func (f *fleet) bound() {
+	for name := range f.targets {
+		if f.running[name] != nil {
+			require.Zero(f.t, f.witness(name).Excess, "requests beyond what %s bore", name)
+		}
+	}
+}
+
+// load sends queries to a host from several callers until the returned function is called.
+func (f *fleet) load(host string) (stop func()) {
+	const callers = 8
+	var group sync.WaitGroup
+	var ended atomic.Bool
+	url := "http://" + f.hosts[host].Callers.String() + apiv1.PathQuery
+	for range callers {
+		group.Go(func() {
+			for !ended.Load() {
+				resp, err := http.Post(url, "application/json", strings.NewReader(`{"service": "`+testService+`"}`))
+				if err == nil {
+					resp.Body.Close()
+				}
+			}
+		})
+	}
+	return func() {
+		ended.Store(true)
+		group.Wait()
+	}
+}
+
 func (f *fleet) storeFaults(faults emul.StoreFaults) {
 	body, err := json.Marshal(faults)
 	require.NoError(f.t, err)
@@ -306,6 +339,8 @@
 
 func TestProcessesSurviveTheLossOfAHost(t *testing.T) {
 	withFleet(t, func(f *fleet) {
+		defer f.bound()
+		defer f.load("roskilde-h2")()
 		f.await("a whole answer", func() bool { return f.whole("aarhus-h1", "before") })
 		f.kill("aarhus-h2")
 		f.kill("odense-h1")
@@ -318,6 +353,8 @@
 
 func TestProcessesSurviveAFrozenHost(t *testing.T) {
 	withFleet(t, func(f *fleet) {
+		defer f.bound()
+		defer f.load("roskilde-h2")()
 		f.signal("odense-h1", syscall.SIGSTOP)
 		f.await("a whole answer beside the frozen host", func() bool { return f.whole("aarhus-h1", "frozen") })
 		f.await("the frozen host to be missed", func() bool { return f.alive("aarhus-h1") < len(f.hosts) })
