--- a/host/leave.go
+++ b/host/leave.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/board"
+	"kingcupcross/wire"
 )
 
 const (
@@ -20,6 +21,8 @@
 	// leaveLinger is the time in which late work is refused before the listeners close.
 	leaveLinger = 500 * time.Millisecond
 	leavePoll   = 20 * time.Millisecond
+	// heirsWait bounds the wait for other hosts to take the targets over, once nothing is in flight.
+	heirsWait = 5 * time.Second
 	// handOverWait bounds the hand-over of the order record.
 	handOverWait = 5 * time.Second
 	// drainWait bounds each server's end once nothing is in flight.
@@ -83,13 +86,34 @@
 	h.pause(ctx, h.notice)
 	h.board.Advance(board.Closed)
 	h.drain(ctx)
+	h.awaitHeirs(ctx, handed)
+	h.settle(ctx)
+	return nil
+}
+
+// awaitHeirs waits until other hosts have taken the targets over; where there is no other host there is nobody to wait for.
+func (h *Host) awaitHeirs(ctx context.Context, handed <-chan error) {
+	ctx, cancel := h.clock.WithTimeout(ctx, heirsWait)
+	defer cancel()
+	if h.alone() {
+		return
+	}
 	select {
 	case err := <-handed:
 		h.log.Info("targets handed over", zap.Error(err))
 	case <-ctx.Done():
+		h.log.Warn("targets not taken over in time")
 	}
-	h.settle(ctx)
-	return nil
+}
+
+// alone reports whether no other host of the data centre can take anything over.
+func (h *Host) alone() bool {
+	for _, m := range h.board.View.Load().Members {
+		if m.Datacentre == h.board.Self.Datacentre && m.Name != h.board.Self.Name && m.State == wire.Alive {
+			return false
+		}
+	}
+	return true
 }
 
 // finish waits for the callers' requests and for the orders under way, also those of callers who have gone.
