--- a/cmd/kingcupcross/process_test.go
+++ b/cmd/kingcupcross/process_test.go
@@ -77,6 +77,7 @@
 	t.Cleanup(fl.end)
 	fl.startAll()
 	f(fl)
+	fl.requireBorne()
 }
 
 // freePorts returns the first of n ports on loopback that are free now.
@@ -285,6 +286,15 @@
 }
 
 // runs returns how often the orders ran in all, by id.
+// requireBorne checks that no target got more than it bore, whatever happened to the hosts.
+func (f *fleet) requireBorne() {
+	for name := range f.targets {
+		if f.running[name] != nil {
+			require.Zero(f.t, f.witness(name).Excess, name)
+		}
+	}
+}
+
 func (f *fleet) runs() map[string]int {
 	all := map[string]int{}
 	for name := range f.targets {
