host: the target's clock of the leave test goes in steps below a sub-request's time

A sub-request now has two seconds at most, and the test's clock went one second each millisecond: under load the sub-request's time ran out before its work was timed (seen once with -race, status 504). Ruled out: the hand-over itself; the target had taken the request.

--- a/host/leave_test.go
+++ b/host/leave_test.go
@@ -146,11 +146,14 @@
 	require.Eventually(p.t, f, 20*time.Second, time.Millisecond)
 }
 
+// workStep is how far the target's clock goes at once: far less than a sub-request's time, which begins before its work does.
+const workStep = 100 * time.Millisecond
+
 // release lets the target's work end, also that which begins later.
 func (p *pair) release() {
 	go func() {
 		for range 2000 {
-			p.work.Advance(time.Second)
+			p.work.Advance(workStep)
 			time.Sleep(time.Millisecond)
 		}
 	}()
@@ -222,7 +225,7 @@
 		first := make(chan reply, 1)
 		go func() { first <- p.post(0, apiv1.PathQuery, apiv1.Query{Service: service, Class: "routine"}) }()
 		for len(first) == 0 {
-			p.work.Advance(time.Second)
+			p.work.Advance(workStep)
 			time.Sleep(time.Millisecond)
 		}
 		require.Equal(p.t, http.StatusOK, (<-first).status)
