--- a/trial/run.go
+++ b/trial/run.go
@@ -76,7 +76,7 @@
 
 // Run makes one experiment.
 func Run(ctx context.Context, p Plan) (*Result, error) {
-	s, err := New(p.Size, query.Policy{NoHedges: p.Policy == Fixed, NoChoice: p.Policy == Fixed})
+	s, err := New(p.Size, query.Policy{NoHedges: p.Policy == Fixed, NoChoice: p.Policy == Fixed}, p.Policy == Full)
 	if err != nil {
 		return nil, err
 	}
--- a/trial/site.go
+++ b/trial/site.go
@@ -70,8 +70,8 @@
 	{Region: "sjaelland", Datacentre: "roskilde"},
 }
 
-// New starts a site; it must be closed.
-func New(size Size, policy query.Policy) (*Site, error) {
+// New starts a site, which must be closed; with claims its keepers claim their targets from each other and follow their cold start, else each takes its targets at once with fixed limits.
+func New(size Size, policy query.Policy, claims bool) (*Site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Site{Clock: timer.New(), cancel: cancel}
 	if err := s.addTargets(size); err != nil {
@@ -83,9 +83,42 @@
 		return nil, err
 	}
 	s.group.Go(func() { s.beat(ctx) })
+	for _, h := range s.Hosts {
+		if claims {
+			s.group.Go(func() { h.Keeper.Run(ctx) })
+		} else {
+			h.Keeper.Assume()
+		}
+	}
+	if claims && !s.waitHeld() {
+		s.Close()
+		return nil, eris.Errorf("the keepers didn't get their targets within %s", claimTime)
+	}
 	return s, nil
 }
 
+// claimTime bounds the wait for all targets to be held.
+const claimTime = 30 * time.Second
+
+// waitHeld waits until each target has a keeper that may send.
+func (s *Site) waitHeld() bool {
+	for end := s.Clock.Now().Add(claimTime); s.Clock.Now().Before(end); {
+		held := 0
+		for _, h := range s.Hosts {
+			for _, k := range h.Keeper.Gates() {
+				if k.Limit > 0 {
+					held++
+				}
+			}
+		}
+		if held == len(s.Targets) {
+			return true
+		}
+		<-s.Clock.After(board.PulsePeriod)
+	}
+	return false
+}
+
 // Close ends all parts of the site.
 func (s *Site) Close() {
 	s.cancel()
--- a/trial/site_test.go
+++ b/trial/site_test.go
@@ -25,7 +25,7 @@
 		Median:  time.Millisecond,
 		Spread:  0.3,
 		Seed:    1,
-	}, query.Policy{})
+	}, query.Policy{}, false)
 	require.NoError(t, err)
 	defer s.Close()
 	require.NoError(t, s.Change("deadline", "30s"))
