--- a/cmds/docs_test.go
+++ b/cmds/docs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -20,7 +21,7 @@
 func TestPagesHoldTheTableOfRefusals(t *testing.T) {
 	committed, err := os.ReadFile("../docs/API.md")
 	require.NoError(t, err)
-	require.Contains(t, string(committed), refusalsTable(), "put in what kingcupcross docs refusals prints")
+	require.True(t, strings.Contains(string(committed), refusalsTable()), "put in what kingcupcross docs refusals prints")
 }
 
 func TestEveryExitCodeIsExplained(t *testing.T) {
--- a/cmds/fleet_test.go
+++ b/cmds/fleet_test.go
@@ -95,6 +95,14 @@
 	})
 }
 
+func TestWaitCountsHostsThatNobodyKnowsYet(t *testing.T) {
+	withFleet(t, false, false, func(admin string, _, _ *hostAt) {
+		code, _, problems := runIt("settings", "wait", "1", "--admin", admin, "--hosts", "4", "--timeout", "1ms")
+		require.Equal(t, ExitPending, code)
+		require.Contains(t, problems, "at 2 of 4 hosts")
+	})
+}
+
 func TestWaitCountsHostsThatOnlyThePlatformLists(t *testing.T) {
 	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		json.NewEncoder(w).Encode(store.Hosts{Hosts: []store.Host{
--- a/cmds/wait.go
+++ b/cmds/wait.go
@@ -19,6 +19,7 @@
 type WaitCmd struct {
 	Watched
 	Change  uint64         `arg:"" optional:"" help:"Number of the change; the newest in the store by default, for which --platform must be given."`
+	Hosts   int            `help:"Wait also until that many hosts are seen; hosts that have just started don't know each other yet."`
 	Timeout units.Duration `default:"6s" help:"Longest time to wait."`
 }
 
@@ -50,7 +51,7 @@
 	for {
 		hosts, err := c.fleet(ctx)
 		waited := clock.Since(start)
-		if err == nil && behind(hosts, c.Change) == 0 {
+		if err == nil && c.behind(hosts) == 0 {
 			return c.print(out, hosts)
 		}
 		if waited < c.Timeout.D() {
@@ -66,8 +67,8 @@
 		}
 		return &PendingError{
 			Change: c.Change,
-			Hosts:  len(hosts),
-			Behind: behind(hosts, c.Change),
+			Hosts:  max(len(hosts), c.Hosts),
+			Behind: c.behind(hosts),
 			Waited: c.Timeout.D(),
 		}
 	}
@@ -91,11 +92,11 @@
 	})
 }
 
-// behind counts the hosts where the change isn't known to be in force; a dead or leaving host needs no settings.
-func behind(hosts []HostView, change uint64) int {
-	n := 0
+// behind counts the hosts where the change isn't known to be in force, with those not yet seen; a dead or leaving host needs no settings.
+func (c *WaitCmd) behind(hosts []HostView) int {
+	n := max(0, c.Hosts-len(hosts))
 	for _, h := range hosts {
-		if !gone(h) && (h.Status == nil || h.Change < change) {
+		if !gone(h) && (h.Status == nil || h.Change < c.Change) {
 			n++
 		}
 	}
