--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -50,12 +50,13 @@
 	return f.Decode(into)
 }
 
-// serve answers at the address until a signal or the loop's failure.
-func serve(a netip.AddrPort, h http.Handler, loop func(context.Context) error) error {
+func listen(a netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", a.String())
-	if err != nil {
-		return eris.Wrap(err, "listen")
-	}
+	return l, eris.Wrapf(err, "listen at %s", a)
+}
+
+// serve answers on the listener until a signal or the loop's failure.
+func serve(l net.Listener, h http.Handler, loop func(context.Context) error) error {
 	server := &http.Server{Handler: h}
 	var group run.Group
 	group.Add(func() error { return server.Serve(l) }, func(error) { server.Close() })
@@ -94,7 +95,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", s.Handler())
 	mux.Handle("GET "+store.PathHosts, hosts.Handler())
-	return serve(f.Address, mux, hosts.Run)
+	l, err := listen(f.Address)
+	if err != nil {
+		return err
+	}
+	return serve(l, mux, hosts.Run)
 }
 
 type targetCmd struct {
@@ -106,8 +111,13 @@
 	if err := load(c.Settings, &f); err != nil {
 		return err
 	}
-	t := emul.NewTarget(timer.New(), f.TargetSettings)
-	return serve(f.Address, t.Handler(), untilDone)
+	l, err := listen(f.Address)
+	if err != nil {
+		return err
+	}
+	clock := timer.New()
+	t := emul.NewTarget(clock, f.TargetSettings)
+	return serve(emul.NewListener(clock, l, f.Conns, f.Setup.D()), t.Handler(), untilDone)
 }
 
 type layoutCmd struct {
--- a/cmds/change_test.go
+++ b/cmds/change_test.go
@@ -7,9 +7,11 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -24,6 +26,20 @@
 	t        *testing.T
 	store    *emul.Store
 	platform string
+	// dropping makes the store go down right after the next write, whose reply is lost.
+	dropping atomic.Bool
+}
+
+// front passes calls on to the store.
+func (o *operators) front(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut && o.dropping.CompareAndSwap(true, false) {
+			h.ServeHTTP(httptest.NewRecorder(), r)
+			o.store.SetFaults(emul.StoreFaults{Down: true})
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // withOperators starts an emulated platform with the first settings in it.
@@ -32,11 +48,12 @@
 	s := emul.NewStore(timer.New())
 	hosts := store.Hosts{Hosts: []store.Host{{Name: "a1", Datacentre: "aarhus"}, {Name: "o1", Datacentre: "odense"}}}
 	mux := http.NewServeMux()
-	mux.Handle("/", s.Handler())
+	o := &operators{t: t, store: s}
+	mux.Handle("/", o.front(s.Handler()))
 	mux.HandleFunc("GET "+store.PathHosts, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(hosts) })
 	server := httptest.NewServer(mux)
 	defer server.Close()
-	o := &operators{t: t, store: s, platform: strings.TrimPrefix(server.URL, "http://")}
+	o.platform = strings.TrimPrefix(server.URL, "http://")
 	o.good("settings", "put", "../_fixtures/saltlade.jsonc")
 	f(o)
 }
@@ -109,6 +126,18 @@
 	})
 }
 
+func TestFateThatCannotBeFoundOutIsSaidToBeUnknown(t *testing.T) {
+	withOperators(t, func(o *operators) {
+		o.dropping.Store(true)
+		code, _, problems := o.run("settings", "set", "saltlade", "extra", "0.01")
+		require.Equal(t, ExitUnknown, code, problems)
+		id := regexp.MustCompile(`id ([A-Z0-9]{26}) `).FindStringSubmatch(problems)
+		require.Len(t, id, 2, problems)
+		o.store.SetFaults(emul.StoreFaults{})
+		require.Contains(t, o.good("settings", "history", "--id", id[1]), "extra: 0.05 -> 0.01", "the change had taken effect")
+	})
+}
+
 func TestStoreDownChangesNothingAndSaysSo(t *testing.T) {
 	withOperators(t, func(o *operators) {
 		o.store.SetFaults(emul.StoreFaults{Down: true})
--- a/emul/layout.go
+++ b/emul/layout.go
@@ -38,6 +38,8 @@
 	Port  int
 	// Median is the median time of a request at a target.
 	Median units.Duration
+	// Setup is the time that a new connection to a target takes.
+	Setup units.Duration
 	// Services are all services; where there are none, the fields below describe the only one.
 	Services []Service
 	Service  string
@@ -64,6 +66,9 @@
 // TargetFile is a target's settings file.
 type TargetFile struct {
 	Address netip.AddrPort `json:"address"`
+	// Conns is the number of connections that the target accepts, where zero means any, and Setup the time that a new one takes.
+	Conns int            `json:"conns"`
+	Setup units.Duration `json:"setup"`
 	TargetSettings
 }
 
@@ -188,6 +193,8 @@
 func (l *Layout) targetFile(t shard.Target, s Service, i int, shards []int) TargetFile {
 	return TargetFile{
 		Address: t.Address,
+		Conns:   s.Conns,
+		Setup:   l.Setup,
 		TargetSettings: TargetSettings{
 			Name:   t.Name,
 			Slots:  s.Slots,
--- a/emul/preset.go
+++ b/emul/preset.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"kingcupcross/units"
 )
 
 // Sizes of today, the same for both organisations' small services.
@@ -13,6 +16,7 @@
 	smallShards  = 8
 	smallSlots   = 2
 	smallConns   = 25
+	connectTime  = 6 * time.Millisecond
 )
 
 func small(prefix string, n int) []Service {
@@ -92,6 +96,6 @@
 	if !found {
 		return eris.Errorf("no preset %q: use saltlade or kormsu", name)
 	}
-	l.Places, l.Services = p.places, p.services()
+	l.Places, l.Services, l.Setup = p.places, p.services(), units.Duration(connectTime)
 	return nil
 }
