--- a/peers/slope_test.go
+++ b/peers/slope_test.go
@@ -59,7 +59,7 @@
 // TestSlopeFleet prints what membership costs a host at several sizes; it runs only where SLOPE is set.
 func TestSlopeFleet(t *testing.T) {
 	if os.Getenv("SLOPE") == "" {
-		t.Skip("a measurement: set SLOPE=1")
+		t.Skip("a measurement: set SLOPE=1, or to one of the sizes")
 	}
 	sizes := []map[string]int{
 		{"a": 3, "b": 3, "c": 3},
@@ -69,7 +69,14 @@
 	}
 	t.Log("hosts phase calls/s bytes/s(sent+received) processor(share of a core, without codec and sockets) heap/host")
 	for _, size := range sizes {
-		withFleetAfter(t, size, 30*time.Second, func(l *fleet) {
+		hosts := 0
+		for _, n := range size {
+			hosts += n
+		}
+		if only := os.Getenv("SLOPE"); only != "1" && only != fmt.Sprint(hosts) {
+			continue
+		}
+		withFleetAfter(t, size, 10*time.Second, func(l *fleet) {
 			settings := uint64(0)
 			for _, n := range l.nodes {
 				n.Heads = func() wire.Heads { return wire.Heads{Settings: settings} }
@@ -90,12 +97,12 @@
 					float64(l.net.Calls(Remote+".Probe")-calls)/per, 2*float64(s.bytes)/per,
 					100*used.Seconds()/per, m.HeapAlloc/uint64(len(l.nodes))>>10)
 			}
-			measure("quiet", 10*time.Second)
+			measure("quiet", 5*time.Second)
 			settings++
-			measure("settings change", 10*time.Second)
-			measure("10 s after it", 10*time.Second)
+			measure("settings change", 5*time.Second)
+			measure("5 s after it", 5*time.Second)
 			l.kill("a2")
-			measure("host killed", 10*time.Second)
+			measure("host killed", 5*time.Second)
 		})
 	}
 }
