query, keeper: a query follows targets to their next keepers within its deadline

Cause: a replica that was being taken over refused at once ('moved'), and where the other replica was gone too the answer went out with the shard missing although its keeper was ready some milliseconds later. Ruled out: waiting for every take-over, which would hold answers back up to the deadline; the keeper now says how long its claim still waits, and the query asks again only where that leaves time. TestQueryFollowsTargetsToTheirNextKeepers misses the shards without the wait and is whole with it; TestTakeOverThatEndsTooLateIsNotAwaited answers at once.

--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -210,7 +210,9 @@
 	case g.hold == claiming && g.keeper.clock.Since(g.claim.began) < handOverTime:
 		return nil
 	case g.hold == claiming:
-		return fault.New(fault.Moved, "%s is being taken over", g.name)
+		// Without a hand-over the claim waits until what the last keeper sent has ended.
+		left := g.keeper.policy.lostFlight - g.keeper.clock.Since(g.claim.began)
+		return fault.New(fault.Moved, "%s is being taken over", g.name).After(max(left, fault.Answer(fault.Moved).Retry))
 	case g.hold == idle || g.keeper.stopped.Load():
 		return fault.New(fault.Moved, "%s is not kept here", g.name)
 	case g.ramp.leaving != 0 && g.keeper.policy.sticks:
--- a/query/attempt.go
+++ b/query/attempt.go
@@ -21,6 +21,9 @@
 	open int
 	// denied lists the shards that wait for the retry budget.
 	denied []int
+	// moving lists the shards that wait for a replica's next keeper, until moved.
+	moving []int
+	moved  time.Time
 	// hints are the newer snapshots that targets named where they refused this one.
 	hints []shard.Snapshot
 	// gone says of each shard whether such a target held it.
@@ -153,7 +156,7 @@
 
 // settled reports whether waiting brings nothing: all has come, nothing is under way or the query is to be planned anew.
 func (a *attempt) settled() bool {
-	if a.merge.complete() || (a.open == 0 && len(a.denied) == 0) {
+	if a.merge.complete() || (a.open == 0 && len(a.denied) == 0 && len(a.moving) == 0) {
 		return true
 	}
 	return a.stuck && len(a.planned) < a.engine.plans && a.newer(a.m, a.hints) != nil
@@ -220,6 +223,7 @@
 	for _, s := range f.shards {
 		a.pending[s]--
 	}
+	a.noteMoved(f, r)
 	if a.first.Less(r.Newest) {
 		a.hints = append(a.hints, r.Newest)
 		for _, s := range f.shards {
--- a/query/hedge.go
+++ b/query/hedge.go
@@ -17,7 +17,7 @@
 	urgentFactor = 2
 )
 
-// tick hedges what is late, asks again for what the budget denied, and sets the next alarm.
+// tick hedges what is late, asks again for what the budget denied or what has moved, and sets the next alarm.
 func (a *attempt) tick(ctx context.Context) {
 	if denied := a.denied; len(denied) > 0 {
 		a.denied = nil
@@ -26,7 +26,11 @@
 	if !a.engine.policy.NoHedges && a.values.Hedge < 1 {
 		a.hedge(ctx)
 	}
-	a.arm(max(a.delay/againShare, shortestDelay))
+	next := max(a.delay/againShare, shortestDelay)
+	if wait := a.askMoved(ctx); wait > 0 {
+		next = min(next, wait)
+	}
+	a.arm(next)
 }
 
 // hedge asks another replica for the shards of the flights that are late; a hedge itself may be hedged where a further replica is left.
--- a/query/merge.go
+++ b/query/merge.go
@@ -20,6 +20,8 @@
 	wanted func(asked bool) bool
 	// left returns those of the asked shards that are without an answer after a reply.
 	left func(asked []int, answered func(int) bool) []int
+	// waits says whether a replica that is on its way to another keeper is asked again.
+	waits func() bool
 }
 
 func newGuards() guards {
@@ -30,6 +32,7 @@
 		fresh:  func(answered bool) bool { return !answered },
 		wanted: func(asked bool) bool { return asked },
 		left:   without,
+		waits:  func() bool { return true },
 	}
 }
 
--- a/query/plan.go
+++ b/query/plan.go
@@ -14,6 +14,8 @@
 type try struct {
 	target int
 	keeper wire.HostID
+	// moved says that the keeper did not have the target, so that it may be asked again.
+	moved bool
 }
 
 // candidate is a replica that can be asked.
--- a/query/send.go
+++ b/query/send.go
@@ -22,7 +22,9 @@
 	for _, s := range shards {
 		c := p.replica(s, a.tried[s])
 		if c == nil {
-			a.lose(s)
+			if !a.awaitKeeper(s) {
+				a.lose(s)
+			}
 			continue
 		}
 		chosen[c.target] = append(chosen[c.target], s)
