query: probe slow targets beside another replica instead of sending callers back to them

Cause: the estimate of a slow target decayed with a half-life of 5 s, so each of 9 hosts went back to it every few seconds with a caller's query, which then took a hedge's delay longer; that was 3 to 4% of the queries. TestSlowReplicaIsAvoidedAndTriedAgain asserted the decay; it now asserts the probe, which is as strict: avoided at any age, one probe, back after its reply.

--- a/query/attempt.go
+++ b/query/attempt.go
@@ -95,6 +95,7 @@
 	now := a.engine.clock.Now()
 	a.delay = a.service.delay(now, a.values, a.deadline.Sub(now))
 	a.send(ctx, a.all(), first)
+	a.probe(ctx)
 	a.arm(a.delay + a.delay/graceShare)
 	defer func() { a.disarm() }()
 	reason := a.loop(ctx)
--- a/query/latency.go
+++ b/query/latency.go
@@ -92,23 +92,36 @@
 	halfLife = 5 * time.Second
 )
 
-// estimate follows one latency: it moves with each sample and decays towards the typical one between them.
+// estimate follows one latency: it moves with each sample and, unless it is slow, decays towards the typical one between them.
 type estimate struct {
 	value float64
 	at    time.Time
+	// slow says that the latency is far above the typical one; it ends with a sample that isn't, or when the estimate is forgiven.
+	slow bool
 }
 
 func (e estimate) add(now time.Time, d, typical time.Duration) estimate {
-	if e.at.IsZero() {
-		return estimate{value: float64(d), at: now}
+	far := typical > 0 && d > slowRatio*typical
+	if e.at.IsZero() || (e.slow && !far) {
+		return estimate{value: float64(d), at: now, slow: far}
 	}
 	old := float64(e.read(now, typical))
-	return estimate{value: old + weight*(float64(d)-old), at: now}
+	value := old + weight*(float64(d)-old)
+	return estimate{
+		value: value,
+		at:    now,
+		slow:  e.slow || (far && value > slowRatio*float64(typical)),
+	}
+}
+
+// forgive lets a slow estimate decay.
+func (e estimate) forgive(now time.Time) estimate {
+	return estimate{value: e.value, at: now}
 }
 
 func (e estimate) read(now time.Time, typical time.Duration) time.Duration {
 	excess := e.value - float64(typical)
-	if e.at.IsZero() || excess <= 0 {
+	if e.at.IsZero() || e.slow || excess <= 0 {
 		return time.Duration(e.value)
 	}
 	return typical + time.Duration(excess*math.Exp2(-now.Sub(e.at).Seconds()/halfLife.Seconds()))
--- a/query/service.go
+++ b/query/service.go
@@ -33,6 +33,8 @@
 	// targets holds the latency of each target by name, hops the time to and from the keepers of each data centre.
 	targets map[string]estimate
 	hops    map[string]estimate
+	// slow holds the slow targets with the time at which each was last asked or found slow.
+	slow map[string]time.Time
 }
 
 func newService(now time.Time) *service {
@@ -42,6 +44,7 @@
 		retries: newBudget(now, retryFloor),
 		targets: map[string]estimate{},
 		hops:    map[string]estimate{},
+		slow:    map[string]time.Time{},
 	}
 }
 
@@ -75,7 +78,7 @@
 			hit = 1
 		}
 		s.shed += shedWeight * (hit - s.shed)
-		s.targets[r.Target] = s.targets[r.Target].add(now, d, typical)
+		s.follow(now, r.Target, d, typical)
 	}
 }
 
@@ -94,7 +97,45 @@
 	typical, _ := s.latency.quantile(now, median)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.targets[target] = s.targets[target].add(now, lossFactor*d, typical)
+	s.follow(now, target, lossFactor*d, typical)
+}
+
+// follow adds a latency of a target; the lock is held.
+func (s *service) follow(now time.Time, target string, d, typical time.Duration) {
+	e := s.targets[target].add(now, d, typical)
+	s.targets[target] = e
+	if !e.slow {
+		delete(s.slow, target)
+	} else if _, known := s.slow[target]; !known {
+		s.slow[target] = now
+	}
+}
+
+// due returns the slow targets that were not asked for a period and notes that they are asked now.
+func (s *service) due(now time.Time, period time.Duration) (names []string) {
+	s.mu.RLock()
+	none := len(s.slow) == 0
+	s.mu.RUnlock()
+	if none {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, asked := range s.slow {
+		if now.Sub(asked) >= period {
+			s.slow[name] = now
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// forgive lets the latency of a slow target decay, so that it is tried again without a probe.
+func (s *service) forgive(now time.Time, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.slow, target)
+	s.targets[target] = s.targets[target].forgive(now)
 }
 
 const median = 0.5
--- a/query/straggler_test.go
+++ b/query/straggler_test.go
@@ -173,7 +173,49 @@
 		require.Equal(t, 0, chosen(), "without the choice")
 		b.SetPolicy(Policy{})
 		b.manual.Advance(10 * halfLife)
-		require.Equal(t, 0, chosen())
+		require.Equal(t, 1, chosen(), "time alone must not send a caller back to it")
+		a := b.query(t, "salt")
+		require.True(t, own(a, "salt"))
+		require.Equal(t, 1, a.Load.Hedges, "one probe beside the other replica")
+		require.Equal(t, 0, chosen(), "the probe's reply ends the suspicion")
+	})
+}
+
+func TestProbesOfSlowTargetsAreBounded(t *testing.T) {
+	withEngine(t, func(b *bench) {
+		s := b.service(service1)
+		now := b.Engine.clock.Now()
+		slow := func() {
+			for range minSamples {
+				s.learn(now, []wire.Result{{Target: "t1", Took: time.Millisecond}}, time.Second)
+			}
+			s.penalize(b.Engine.clock.Now(), "t0", time.Second)
+		}
+		slow()
+		b.keepers.replicas["t0"].late = true
+		probes := 0
+		for range 30 {
+			probes += b.query(t, "salt").Load.Hedges
+			b.manual.Advance(probePeriod / 10)
+			slow()
+		}
+		require.Equal(t, 2, probes, "one a period")
+	})
+}
+
+func TestSlowTargetIsForgivenWhereHedgesAreOff(t *testing.T) {
+	withEngine(t, func(b *bench) {
+		s := b.service(service1)
+		now := b.Engine.clock.Now()
+		for range minSamples {
+			s.learn(now, []wire.Result{{Target: "t0", Took: 5 * time.Millisecond}, {Target: "t1", Took: 5 * time.Millisecond}}, time.Second)
+		}
+		s.penalize(now, "t0", 20*time.Millisecond)
+		b.set(t, "hedge", "1")
+		b.manual.Advance(probePeriod)
+		require.Zero(t, b.query(t, "salt").Load.Hedges)
+		b.manual.Advance(10 * halfLife)
+		require.Equal(t, 0, b.planner(s, testMap(1, 1, shardCount)).replica(0, nil).target)
 	})
 }
 
