--- a/admin/admin.go
+++ b/admin/admin.go
@@ -15,6 +15,7 @@
 	"kingcupcross/keeper"
 	"kingcupcross/logs"
 	"kingcupcross/meter"
+	"kingcupcross/query"
 	"kingcupcross/shard"
 	"kingcupcross/units"
 )
@@ -27,11 +28,11 @@
 	logs   *logs.Logs
 	log    *zap.Logger
 	// explain says how a query of a service would be routed; it fails with a fault.Error.
-	explain func(service string) (*apiv1.Explanation, error)
+	explain func(service string) (*query.Explanation, error)
 }
 
 // New returns the operators' front end of a host; explain says how a query of a service would be routed.
-func New(b *board.Board, k *keeper.Keeper, m *meter.Meter, l *logs.Logs, explain func(service string) (*apiv1.Explanation, error)) *Admin {
+func New(b *board.Board, k *keeper.Keeper, m *meter.Meter, l *logs.Logs, explain func(service string) (*query.Explanation, error)) *Admin {
 	return &Admin{
 		board:   b,
 		keeper:  k,
@@ -80,12 +81,30 @@
 
 // route says how a query would be routed.
 func (a *Admin) route(w http.ResponseWriter, r *http.Request) {
-	e, err := a.explain(r.URL.Query().Get("service"))
+	service := r.URL.Query().Get("service")
+	e, err := a.explain(service)
 	if err != nil {
 		fail(w, err)
 		return
 	}
-	answer(w, e)
+	answer(w, a.explanation(service, e))
+}
+
+func (a *Admin) explanation(service string, e *query.Explanation) apiv1.Explanation {
+	out := apiv1.Explanation{
+		Service:  service,
+		Host:     a.board.Self.Name,
+		Snapshot: e.Snapshot,
+		Change:   e.Change,
+	}
+	for _, r := range e.Routes {
+		shard := apiv1.Route{Shard: r.Shard}
+		for _, c := range r.Replicas {
+			shard.Replicas = append(shard.Replicas, apiv1.Replica(c))
+		}
+		out.Shards = append(out.Shards, shard)
+	}
+	return out
 }
 
 func (a *Admin) sendLevels(w http.ResponseWriter) {
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -16,6 +16,7 @@
 	"kingcupcross/fault"
 	"kingcupcross/logs"
 	"kingcupcross/meter"
+	"kingcupcross/query"
 	"kingcupcross/timer"
 	"kingcupcross/wire"
 )
@@ -29,11 +30,11 @@
 	m := meter.New()
 	defer m.Close()
 	b := board.New(clock, wire.Member{HostID: wire.HostID{Name: "a1"}, Datacentre: "aarhus"})
-	explain := func(service string) (*apiv1.Explanation, error) {
+	explain := func(service string) (*query.Explanation, error) {
 		if service != "dispatch" {
 			return nil, fault.New(fault.NoService, "no shard map of %q", service)
 		}
-		return &apiv1.Explanation{Service: service, Host: "a1"}, nil
+		return &query.Explanation{Routes: []query.Route{{Shard: 3}}}, nil
 	}
 	server := httptest.NewServer(New(b, nil, m, l, explain).Handler())
 	defer server.Close()
@@ -69,7 +70,8 @@
 	withAdmin(t, func(get func(method, path, body string) (int, string), _ *logs.Logs) {
 		code, body := get(http.MethodGet, apiv1.PathExplain+"?service=dispatch", "")
 		require.Equal(t, http.StatusOK, code)
-		require.Contains(t, body, `"host":"a1"`)
+		require.Contains(t, body, `"service":"dispatch","host":"a1"`)
+		require.Contains(t, body, `"shards":[{"shard":3`)
 		code, body = get(http.MethodGet, apiv1.PathExplain+"?service=barns", "")
 		require.Equal(t, http.StatusNotFound, code)
 		require.Contains(t, body, `"kind":"noservice","notrun":true`)
--- a/emul/target.go
+++ b/emul/target.go
@@ -3,65 +3,17 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"kingcupcross/shard"
 	"kingcupcross/target"
 	"kingcupcross/timer"
-	"kingcupcross/units"
 )
 
-// Holding is what a target holds of one service.
-type Holding struct {
-	Service string `json:"service"`
-	// Map is the version of the shard map that the shards are of.
-	Map    uint64 `json:"map"`
-	Shards []int  `json:"shards"`
-	// Indexes are the index versions that the target can answer from.
-	Indexes []uint64 `json:"indexes"`
-}
-
-// TargetSettings describe an emulated target.
-type TargetSettings struct {
-	Name  string `json:"name"`
-	Slots int    `json:"slots"`
-	// Cold is the number of requests that the target bears at once while it is cold.
-	Cold int `json:"cold"`
-	// Warmup is the number of requests after which the target is warm.
-	Warmup int `json:"warmup"`
-	// Median is the median time of a request; the times are log-normally spread.
-	Median units.Duration `json:"median"`
-	// Spread is the standard deviation of the logarithm of the times.
-	Spread   float64   `json:"spread"`
-	Seed     uint64    `json:"seed"`
-	Holdings []Holding `json:"holdings"`
-}
-
-// TargetFaults are the faults that a target can be given.
-type TargetFaults struct {
-	// Factor multiplies the time of each request; zero means one.
-	Factor float64 `json:"factor"`
-	// Cut sends replies cut short.
-	Cut bool `json:"cut"`
-	// Corrupt sends parts with a wrong checksum.
-	Corrupt bool `json:"corrupt"`
-	// Hang keeps requests without a reply until they are cancelled.
-	Hang bool `json:"hang"`
-	// Lie makes the state endpoint say warm and idle whatever the truth.
-	Lie bool `json:"lie"`
-	// Lag makes the state endpoint answer with what was true that long ago.
-	Lag units.Duration `json:"lag"`
-	// ResetOrders runs orders but resets the connection before the reply.
-	ResetOrders bool `json:"resetorders"`
-}
-
 // Target emulates one target.
 type Target struct {
 	settings TargetSettings
@@ -108,37 +60,6 @@
 	return t
 }
 
-// Witness is what a target has seen of the work sent to it.
-type Witness struct {
-	// Peak is the largest number of requests at once.
-	Peak int `json:"peak"`
-	// Excess is the number of requests that came while the target bore no more.
-	Excess int `json:"excess"`
-	// Late is the number of requests that came while the target was leaving.
-	Late int `json:"late"`
-	// Served is the number of requests since the process start.
-	Served int `json:"served"`
-	// Runs counts how often each order ran.
-	Runs map[string]int `json:"runs"`
-}
-
-// Witness returns what the target has seen.
-func (t *Target) Witness() Witness {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	w := Witness{
-		Peak:   t.peak,
-		Excess: t.excess,
-		Late:   t.late,
-		Served: t.served,
-		Runs:   make(map[string]int, len(t.runs)),
-	}
-	for id, n := range t.runs {
-		w.Runs[id] = n
-	}
-	return w
-}
-
 // SetFaults replaces the faults.
 func (t *Target) SetFaults(f TargetFaults) {
 	t.mu.Lock()
@@ -299,154 +220,3 @@
 	}
 	return t.clock.Sleep(ctx, d)
 }
-
-func (t *Target) query(w http.ResponseWriter, r *http.Request) {
-	var q target.Query
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		refuse(w, target.Refusal{Reason: target.Bad})
-		return
-	}
-	if refusal := t.check(q); refusal != nil {
-		refuse(w, *refusal)
-		return
-	}
-	if refusal := t.Begin(); refusal != nil {
-		refuse(w, *refusal)
-		return
-	}
-	defer t.End()
-	ctx, cancel := context.WithCancel(r.Context())
-	defer t.track(q.ID, cancel)()
-	if err := t.work(ctx, q.Deadline.D()); err != nil {
-		http.Error(w, "given up", http.StatusGatewayTimeout)
-		return
-	}
-	t.answer(w, q)
-}
-
-func (t *Target) track(id string, cancel context.CancelFunc) (untrack func()) {
-	t.mu.Lock()
-	t.running[id] = cancel
-	t.mu.Unlock()
-	return func() {
-		t.mu.Lock()
-		delete(t.running, id)
-		t.mu.Unlock()
-		cancel()
-	}
-}
-
-// check refuses a snapshot or shard that the target doesn't hold.
-func (t *Target) check(q target.Query) *target.Refusal {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	refusal := &target.Refusal{Reason: target.Absent, State: t.state()}
-	for _, h := range t.settings.Holdings {
-		if h.Service != q.Service || len(h.Indexes) == 0 {
-			continue
-		}
-		newest := shard.Snapshot{Map: h.Map, Index: slices.Max(h.Indexes)}
-		if refusal.Newest.Less(newest) {
-			refusal.Newest = newest
-		}
-		if h.Map == q.Snapshot.Map && slices.Contains(h.Indexes, q.Snapshot.Index) && containsAll(h.Shards, q.Shards) {
-			return nil
-		}
-	}
-	if q.Snapshot.Less(refusal.Newest) {
-		refusal.Reason = target.Gone
-	}
-	return refusal
-}
-
-func containsAll(held, asked []int) bool {
-	for _, s := range asked {
-		if !slices.Contains(held, s) {
-			return false
-		}
-	}
-	return true
-}
-
-// Payload returns what every replica of a shard answers to a query, so that callers can check it.
-func Payload(service string, s shard.Snapshot, n int, query []byte) []byte {
-	return fmt.Appendf(nil, "%s map %d index %d shard %d query %016x", service, s.Map, s.Index, n, xxhash.Sum64(query))
-}
-
-func (t *Target) answer(w http.ResponseWriter, q target.Query) {
-	t.mu.Lock()
-	out := target.Reply{ID: q.ID, Snapshot: q.Snapshot, State: t.state()}
-	f := t.faults
-	t.mu.Unlock()
-	for _, s := range q.Shards {
-		p := target.NewPart(s, Payload(q.Service, q.Snapshot, s, q.Payload))
-		if f.Corrupt {
-			p.Sum++
-		}
-		out.Parts = append(out.Parts, p)
-	}
-	if f.Cut {
-		cutShort(w, out)
-		return
-	}
-	reply(w, http.StatusOK, out)
-}
-
-// cutShort sends the first half of a reply and resets the connection.
-func cutShort(w http.ResponseWriter, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	w.Write(body[:len(body)/2])
-	http.NewResponseController(w).Flush()
-	panic(http.ErrAbortHandler)
-}
-
-func (t *Target) order(w http.ResponseWriter, r *http.Request) {
-	var o target.Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		refuse(w, target.Refusal{Reason: target.Bad})
-		return
-	}
-	if refusal := t.Begin(); refusal != nil {
-		refuse(w, *refusal)
-		return
-	}
-	defer t.End()
-	t.mu.Lock()
-	t.runs[o.ID]++
-	run := t.runs[o.ID]
-	f := t.faults
-	t.mu.Unlock()
-	// An order that has begun runs to its end, also when its sender has gone.
-	if err := t.work(context.WithoutCancel(r.Context()), 0); err != nil || f.ResetOrders {
-		panic(http.ErrAbortHandler)
-	}
-	payload := fmt.Appendf(nil, "%s done at %s, run %d", o.ID, t.settings.Name, run)
-	t.mu.Lock()
-	s := t.state()
-	t.mu.Unlock()
-	reply(w, http.StatusOK, target.OrderReply{
-		ID:      o.ID,
-		State:   s,
-		Payload: payload,
-		Sum:     xxhash.Sum64(payload),
-	})
-}
-
-func (t *Target) cancel(_ http.ResponseWriter, r *http.Request) {
-	var c target.Cancel
-	if json.NewDecoder(r.Body).Decode(&c) != nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if stop := t.running[c.ID]; stop != nil {
-		stop()
-	}
-}
-
-func refuse(w http.ResponseWriter, r target.Refusal) {
-	reply(w, http.StatusServiceUnavailable, r)
-}
--- a/host/leave.go
+++ b/host/leave.go
@@ -21,8 +21,8 @@
 	// leaveLinger is the time in which late work is refused before the listeners close.
 	leaveLinger = 500 * time.Millisecond
 	leavePoll   = 20 * time.Millisecond
-	// heirsWait bounds the wait for other hosts to take the targets over, once nothing is in flight.
-	heirsWait = 5 * time.Second
+	// successorsWait bounds the wait for other hosts to take the targets over, once nothing is in flight.
+	successorsWait = 5 * time.Second
 	// handOverWait bounds the hand-over of the order record.
 	handOverWait = 5 * time.Second
 	// drainWait bounds each server's end once nothing is in flight.
@@ -86,14 +86,14 @@
 	h.pause(ctx, h.notice)
 	h.board.Advance(board.Closed)
 	h.drain(ctx)
-	h.awaitHeirs(ctx, handed)
+	h.awaitSuccessors(ctx, handed)
 	h.settle(ctx)
 	return nil
 }
 
-// awaitHeirs waits until other hosts have taken the targets over; where there is no other host there is nobody to wait for.
-func (h *Host) awaitHeirs(ctx context.Context, handed <-chan error) {
-	ctx, cancel := h.clock.WithTimeout(ctx, heirsWait)
+// awaitSuccessors waits until other hosts have taken the targets over; where there is no other host there is nobody to wait for.
+func (h *Host) awaitSuccessors(ctx context.Context, handed <-chan error) {
+	ctx, cancel := h.clock.WithTimeout(ctx, successorsWait)
 	defer cancel()
 	if h.alone() {
 		return
--- a/keeper/bench_test.go
+++ b/keeper/bench_test.go
@@ -287,8 +287,8 @@
 	return name, b.hosts[name]
 }
 
-// heir returns the host that keeps the target once a host is gone, and the third one.
-func (b *bench) heir(gone string) (heir, third string) {
+// successor returns the host that keeps the target once a host is gone, and the third one.
+func (b *bench) successor(gone string) (successor, third string) {
 	h := b.hosts[gone]
 	v := &board.View{Members: map[string]wire.Member{}}
 	for n, m := range h.board.View.Load().Members {
--- a/keeper/bound_test.go
+++ b/keeper/bound_test.go
@@ -64,14 +64,14 @@
 			off:  func(p *policy) { p.lostFlight = 0 },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, _ := b.heir(name)
+				successor, _ := b.successor(name)
 				b.flood(old)
 				b.kill(name)
 				for range 50 {
 					b.run(benchStep)
-					b.flood(b.hosts[heir])
+					b.flood(b.hosts[successor])
 				}
-				b.requireKeeper(heir)
+				b.requireKeeper(successor)
 			},
 		},
 		{
@@ -82,13 +82,13 @@
 			},
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, _ := b.heir(name)
+				successor, _ := b.successor(name)
 				b.pause(name)
 				b.run(9 * time.Second)
 				b.goOn(name)
 				for range 20 {
 					b.flood(old)
-					b.flood(b.hosts[heir])
+					b.flood(b.hosts[successor])
 					b.run(benchStep)
 				}
 			},
@@ -98,14 +98,14 @@
 			off:  func(p *policy) { p.pauses = func() uint64 { return 0 } },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, _ := b.heir(name)
+				successor, _ := b.successor(name)
 				b.pause(name)
 				b.run(9 * time.Second)
 				b.goOn(name)
 				old.board.Pulse.Beat()
 				old.board.Pulse.Rejoin()
 				b.flood(old)
-				b.flood(b.hosts[heir])
+				b.flood(b.hosts[successor])
 				b.run(benchStep)
 			},
 		},
@@ -114,9 +114,9 @@
 			off:  func(p *policy) { p.asks, p.confirms = false, false },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, _ := b.heir(name)
-				b.see(name, wire.Leaving, false, heir)
-				b.serve(time.Second, old, b.hosts[heir])
+				successor, _ := b.successor(name)
+				b.see(name, wire.Leaving, false, successor)
+				b.serve(time.Second, old, b.hosts[successor])
 			},
 		},
 		{
@@ -124,13 +124,13 @@
 			off:  func(p *policy) { p.counts = false },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, third := b.heir(name)
+				successor, third := b.successor(name)
 				b.flood(old)
 				old.keeper.leaving.Store(true)
-				b.see(name, wire.Leaving, false, name, heir, third)
+				b.see(name, wire.Leaving, false, name, successor, third)
 				b.run(2 * benchStep)
-				b.requireKeeper(heir)
-				b.flood(b.hosts[heir])
+				b.requireKeeper(successor)
+				b.flood(b.hosts[successor])
 			},
 		},
 		{
@@ -138,11 +138,11 @@
 			off:  func(p *policy) { p.share = func(limit int, _ *census) int { return limit } },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, _ := b.heir(name)
+				successor, _ := b.successor(name)
 				b.part(name)
 				b.run(3 * time.Second)
 				b.sees(name, wire.Dead)
-				b.serve(10*time.Second, old, b.hosts[heir])
+				b.serve(10*time.Second, old, b.hosts[successor])
 			},
 		},
 		{
@@ -150,9 +150,9 @@
 			off:  func(p *policy) { p.silence = 0 },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, _ := b.heir(name)
+				successor, _ := b.successor(name)
 				b.part(name)
-				b.serve(4*time.Second, old, b.hosts[heir])
+				b.serve(4*time.Second, old, b.hosts[successor])
 			},
 		},
 		{
@@ -160,14 +160,14 @@
 			off:  func(p *policy) { p.confirms = false },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, third := b.heir(name)
+				successor, third := b.successor(name)
 				b.part(name)
 				b.run(3 * time.Second)
 				b.sees(name, wire.Dead)
-				b.serve(8*time.Second, old, b.hosts[heir])
+				b.serve(8*time.Second, old, b.hosts[successor])
 				b.sees(name, wire.Alive)
-				b.see(name, wire.Alive, false, heir, third)
-				b.serve(time.Second, old, b.hosts[heir])
+				b.see(name, wire.Alive, false, successor, third)
+				b.serve(time.Second, old, b.hosts[successor])
 				b.cut = func(string, string) bool { return false }
 				b.run(3 * time.Second)
 				b.keeper()
@@ -178,16 +178,16 @@
 			off:  func(p *policy) { p.lostFlight, p.witness = 0, false },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, _ := b.heir(name)
+				successor, _ := b.successor(name)
 				b.part(name)
 				b.run(3 * time.Second)
 				b.sees(name, wire.Dead)
-				b.serve(8*time.Second, old, b.hosts[heir])
+				b.serve(8*time.Second, old, b.hosts[successor])
 				b.cut = func(string, string) bool { return false }
 				b.kill(name)
 				for range 10 {
 					b.run(benchStep)
-					b.flood(b.hosts[heir])
+					b.flood(b.hosts[successor])
 				}
 			},
 		},
@@ -196,18 +196,18 @@
 			off:  func(p *policy) { p.lostFlight = 0 },
 			fault: func(b *bench) {
 				name, old := b.keeper()
-				heir, third := b.heir(name)
+				successor, third := b.successor(name)
 				b.flood(old)
 				b.drop = func(from, _ string) bool { return from == name }
 				old.keeper.leaving.Store(true)
-				b.see(name, wire.Leaving, false, name, heir, third)
+				b.see(name, wire.Leaving, false, name, successor, third)
 				b.run(2 * benchStep)
 				b.kill(name)
 				for range 50 {
 					b.run(benchStep)
-					b.flood(b.hosts[heir])
+					b.flood(b.hosts[successor])
 				}
-				b.requireKeeper(heir)
+				b.requireKeeper(successor)
 			},
 		},
 		{
@@ -215,11 +215,11 @@
 			off:  func(p *policy) { p.cold = func(int, int) int { return benchSlots } },
 			fault: func(b *bench) {
 				name, _ := b.keeper()
-				heir, _ := b.heir(name)
+				successor, _ := b.successor(name)
 				b.kill(name)
 				b.target.Restart()
 				b.run(3 * time.Second)
-				b.flood(b.hosts[heir])
+				b.flood(b.hosts[successor])
 			},
 		},
 	} {
--- a/keeper/claim.go
+++ b/keeper/claim.go
@@ -121,7 +121,7 @@
 	}
 	if g.hold != idle {
 		// What was given before a pause has lapsed, and others may have kept the target since.
-		g.handed, g.heir = time.Time{}, heir{}
+		g.handed, g.successor = time.Time{}, successor{}
 		g.release()
 	}
 	if now.Before(g.retry) {
@@ -282,7 +282,7 @@
 		return
 	}
 	for _, left := range r.Flights {
-		g.haunt(now, ghost{until: now.Add(min(left, flightLimit))})
+		g.keepRoom(now, orphan{until: now.Add(min(left, flightLimit))})
 	}
 }
 
@@ -306,7 +306,7 @@
 	if !now.Before(g.handed) {
 		g.ramp.restart(now, g.cold(target.State{}), "no keeper handed the target over")
 	}
-	g.handed, g.heir = time.Time{}, heir{}
+	g.handed, g.successor = time.Time{}, successor{}
 	k.count.kept.Inc(1)
 	k.say("target is kept here", g)
 	g.dispatch()
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -44,12 +42,12 @@
 	handed time.Time
 	// retry is when a refused claim may be made again.
 	retry time.Time
-	// heir is the attempt to which this host gave its right last.
-	heir   heir
-	flying []*pass
-	ghosts []ghost
-	queue  queue
-	ramp   ramp
+	// successor is the attempt to which this host gave its right last.
+	successor successor
+	flying    []*pass
+	orphans   []orphan
+	queue     queue
+	ramp      ramp
 	// heard counts the replies and refusals.
 	heard uint64
 	// quiet is until when the target's shedding keeps new work away.
@@ -58,35 +56,12 @@
 	witnessed time.Time
 }
 
-// heir names one claim of one run of a host.
-type heir struct {
+// successor names one claim of one run of a host.
+type successor struct {
 	host  wire.HostID
 	claim uint64
 }
 
-// ghost is a request that may still run at the target although this host waits for no reply of it.
-type ghost struct {
-	id    string
-	until time.Time
-}
-
-// pass is the right to send one request now; it must be given back through done.
-type pass struct {
-	gate *gate
-	// id is the request's id at the target, for its cancellation; it is empty for orders.
-	id string
-	// deadline is when the target may no longer work on the request.
-	deadline time.Time
-	sent     time.Time
-	// most is the largest number of requests of this host at the target while this one ran.
-	most int
-}
-
-// left returns the time that the target may take from now on.
-func (p *pass) left() time.Duration {
-	return max(p.deadline.Sub(p.gate.keeper.clock.Now()), 0)
-}
-
 func newGate(k *Keeper, service string, t shard.Target) *gate {
 	g := &gate{
 		keeper:  k,
@@ -237,14 +212,14 @@
 
 // busy returns how many requests run or may run at the target; the lock is held.
 func (g *gate) busy(now time.Time) int {
-	kept := g.ghosts[:0]
-	for _, o := range g.ghosts {
+	kept := g.orphans[:0]
+	for _, o := range g.orphans {
 		if o.until.After(now) {
 			kept = append(kept, o)
 		}
 	}
-	g.ghosts = kept
-	return len(g.flying) + len(g.ghosts)
+	g.orphans = kept
+	return len(g.flying) + len(g.orphans)
 }
 
 func (g *gate) admit(now, deadline time.Time) *pass {
@@ -302,7 +277,7 @@
 	}
 }
 
-// wake dispatches after d, when ghosts have ended or a shedding target may be asked again; the lock is held.
+// wake dispatches after d, when orphans have ended or a shedding target may be asked again; the lock is held.
 func (g *gate) wake(d time.Duration) {
 	g.keeper.clock.AfterFunc(d, func() {
 		g.mu.Lock()
@@ -328,88 +303,3 @@
 	g.take(p)
 	g.dispatch()
 }
-
-// done gives the pass back with what the target said of itself in its reply or refusal, and the error of the exchange.
-func (p *pass) done(s target.State, err error) {
-	g := p.gate
-	g.mu.Lock()
-	g.take(p)
-	g.heard++
-	now := g.keeper.clock.Now()
-	outcome := outcomeOf(err)
-	if outcome == lost && now.Before(p.deadline) {
-		g.haunt(now, ghost{id: p.id, until: p.deadline})
-	}
-	sign := g.learn(now, p, s, err)
-	g.dispatch()
-	g.mu.Unlock()
-	if outcome == lost && p.id != "" {
-		g.keeper.spawn(func() { g.cancel(p) })
-	}
-	g.keeper.spreadSign(g.name, sign)
-}
-
-// haunt keeps room for a request that may still run; the lock is held.
-func (g *gate) haunt(now time.Time, o ghost) {
-	g.ghosts = append(g.ghosts, o)
-	g.wake(o.until.Sub(now))
-}
-
-// cancel asks the target to stop work on a lost request and frees its room once the target has said so.
-func (g *gate) cancel(p *pass) {
-	ctx, stop := g.keeper.clock.WithTimeout(context.Background(), p.left())
-	defer stop()
-	if g.client.Cancel(ctx, p.id) != nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for i, o := range g.ghosts {
-		if o.id == p.id {
-			g.ghosts[i].until = g.keeper.clock.Now().Add(endGrace)
-		}
-	}
-	g.wake(endGrace)
-}
-
-// outcome says what is certain about a request at its target.
-type outcome uint8
-
-const (
-	answered outcome = iota
-	refused
-	unsent
-	lost
-)
-
-func outcomeOf(err error) outcome {
-	if err == nil {
-		return answered
-	}
-	var refusal *target.Refusal
-	if errors.As(err, &refusal) {
-		return refused
-	}
-	var status *target.StatusError
-	if errors.As(err, &status) {
-		return answered
-	}
-	var failed *target.SendError
-	if errors.As(err, &failed) && !failed.Sent {
-		return unsent
-	}
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return unsent
-	}
-	return lost
-}
-
-// stateOf returns what a target said of itself in a refusal, or the zero state.
-func stateOf(err error) target.State {
-	var refusal *target.Refusal
-	if errors.As(err, &refusal) {
-		return refusal.State
-	}
-	return target.State{}
-}
--- a/keeper/learn.go
+++ b/keeper/learn.go
@@ -93,7 +93,7 @@
 	g.witnessed = now
 	g.keeper.count.witnessed.Inc(1)
 	for range min(foreign, g.target.Slots) {
-		g.haunt(now, ghost{until: now.Add(flightLimit)})
+		g.keepRoom(now, orphan{until: now.Add(flightLimit)})
 	}
 }
 
--- a/keeper/leaving_test.go
+++ b/keeper/leaving_test.go
@@ -75,11 +75,11 @@
 			off:  alone,
 			fault: func(b *bench) *host {
 				name, _ := b.keeper()
-				heir, _ := b.heir(name)
+				successor, _ := b.successor(name)
 				sign(b)
 				b.kill(name)
 				b.run(3 * time.Second)
-				return b.hosts[heir]
+				return b.hosts[successor]
 			},
 		},
 		{
@@ -87,16 +87,16 @@
 			off:  func(p *policy) { p.sticks, p.spreads = false, false },
 			fault: func(b *bench) *host {
 				name, old := b.keeper()
-				heir, third := b.heir(name)
+				successor, third := b.successor(name)
 				old.keeper.leaving.Store(true)
 				sign(b)
-				b.see(name, wire.Leaving, false, name, heir, third)
+				b.see(name, wire.Leaving, false, name, successor, third)
 				b.run(2 * benchStep)
-				return b.hosts[heir]
+				return b.hosts[successor]
 			},
 		},
 		{
-			name: "lagging host list: the heir takes the leaving keeper for living and asks late",
+			name: "lagging host list: the successor takes the leaving keeper for living and asks late",
 			off:  neither,
 			fault: func(b *bench) *host {
 				name, old := b.keeper()
--- a/keeper/yield.go
+++ b/keeper/yield.go
@@ -64,7 +64,7 @@
 	defer g.mu.Unlock()
 	lapsed := g.pauses != g.keeper.policy.pauses() || !g.keeper.policy.awake()
 	r := wire.Yielded{Target: g.name, Learned: g.ramp.learned()}
-	to := heir{host: from.HostID, claim: number}
+	to := successor{host: from.HostID, claim: number}
 	switch {
 	case g.hold == held && mine && !lapsed:
 		r.Refused = true
@@ -78,17 +78,17 @@
 		return r
 	case g.hold != idle && !lapsed:
 		r.Handed = g.hold == held || now.Before(g.handed)
-		g.heir = heir{}
+		g.successor = successor{}
 		if r.Handed {
-			g.heir = to
+			g.successor = to
 			g.keeper.count.yielded.Inc(1)
 			g.keeper.say("target is handed over", g)
 		}
 	case now.Before(g.handed) && !lapsed:
 		// The right came to this host, whose claim was then refused: it goes on to the next.
 		r.Handed = true
-		g.heir = to
-	case number != 0 && g.heir == to:
+		g.successor = to
+	case number != 0 && g.successor == to:
 		// The answer to the same claim was lost on its way.
 		r.Handed = true
 	}
@@ -113,7 +113,7 @@
 			all = append(all, left)
 		}
 	}
-	for _, o := range g.ghosts {
+	for _, o := range g.orphans {
 		if left := o.until.Sub(now); left > 0 {
 			all = append(all, left)
 		}
--- a/order/adopt.go
+++ b/order/adopt.go
@@ -92,7 +92,7 @@
 	for id, pages := range b.pages() {
 		given := 0
 		for _, m := range rank(b.board.View.Load(), id, b.board.Self.Datacentre) {
-			if given == heirs {
+			if given == successors {
 				break
 			}
 			if m.State != wire.Alive || m.Name == b.board.Self.Name {
--- a/order/forward.go
+++ b/order/forward.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// heirs is the number of hosts that a leaving host's record is handed to.
-	heirs = 2
-	// asked is the number of hosts that are asked for the record of a host that is gone: more than heirs, since hosts may have joined meanwhile.
+	// successors is the number of hosts that a leaving host's record is handed to.
+	successors = 2
+	// asked is the number of hosts that are asked for the record of a host that is gone: more than successors, since hosts may have joined meanwhile.
 	asked = 4
 )
 
--- a/order/once_test.go
+++ b/order/once_test.go
@@ -122,7 +122,7 @@
 		{name: "after the successor's graceful stop", without: withoutMinting, act: repeatAt("b1", leaveTwice)},
 		{name: "after a graceful stop and its first successor's death", without: withoutMinting, act: repeatAt("b1", func(fl *fleet) {
 			fl.leave("a1")
-			fl.kill(fl.heir())
+			fl.kill(fl.successor())
 		})},
 		{name: "store down", without: withoutClaims, act: keyAgain("a2", setStore(emul.StoreFaults{Down: true})), last: fault.Store},
 		{name: "claim's reply lost", without: withoutClaims, act: func(fl *fleet) {
@@ -154,11 +154,11 @@
 
 func leaveTwice(fl *fleet) {
 	fl.leave("a1")
-	fl.leave(fl.heir())
+	fl.leave(fl.successor())
 }
 
-// heir returns the first successor of a1.
-func (fl *fleet) heir() string {
+// successor returns the first successor of a1.
+func (fl *fleet) successor() string {
 	return rank(fl.nodes["b1"].board.View.Load(), fl.nodes["a1"].board.Self.HostID, "a")[0].Name
 }
 
--- a/order/slope_test.go
+++ b/order/slope_test.go
@@ -109,14 +109,14 @@
 func BenchmarkSlopeHandOver(b *testing.B) {
 	for _, n := range slopeSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			book, heir := slopeBook(b), slopeBook(b)
+			book, successor := slopeBook(b), slopeBook(b)
 			fill(book, n)
 			var bytes int64
 			b.ResetTimer()
 			for range b.N {
 				for _, pages := range book.pages() {
 					for _, p := range pages {
-						bytes += transfer(b, p, heir)
+						bytes += transfer(b, p, successor)
 					}
 				}
 			}
@@ -127,7 +127,7 @@
 }
 
 // transfer sends a page through the codec of the calls between hosts.
-func transfer(b *testing.B, p wire.Adopt, heir *Book) int64 {
+func transfer(b *testing.B, p wire.Adopt, successor *Book) int64 {
 	r, w := io.Pipe()
 	go func() { w.CloseWithError(gob.NewEncoder(w).Encode(p)) }()
 	counted := &counter{r: r}
@@ -135,7 +135,7 @@
 	if err := gob.NewDecoder(counted).Decode(&got); err != nil {
 		b.Fatal(err)
 	}
-	if err := heir.adopt(got); err != nil {
+	if err := successor.adopt(got); err != nil {
 		b.Fatal(err)
 	}
 	return counted.n
--- a/query/explain.go
+++ b/query/explain.go
@@ -1,21 +1,44 @@
 package query
 
 import (
-	"kingcupcross/apiv1"
 	"kingcupcross/fault"
 	"kingcupcross/shard"
 	"kingcupcross/wire"
 )
 
+// Explanation says how a query would be routed now.
+type Explanation struct {
+	Snapshot shard.Snapshot
+	// Change is the number of the settings change in force.
+	Change uint64
+	Routes []Route
+}
+
+// Route gives the replicas of one shard.
+type Route struct {
+	Shard    int
+	Replicas []Replica
+}
+
+// Replica is one copy of a shard at a target.
+type Replica struct {
+	Target     string
+	Datacentre string
+	// Keeper is the host through which the target is asked, or "" where there is none.
+	Keeper string
+	// Chosen says that this replica is asked first.
+	Chosen bool
+	// Why says why the replica is asked or not.
+	Why string
+}
+
 // Explain says how a query of a service would be routed now; it fails with fault.NoService.
-func (e *Engine) Explain(service string) (*apiv1.Explanation, error) {
+func (e *Engine) Explain(service string) (*Explanation, error) {
 	m := e.board.Map(service)
 	if m == nil {
 		return nil, fault.New(fault.NoService, "no shard map of %q at %s", service, e.board.Self.Name)
 	}
-	x := &apiv1.Explanation{
-		Service:  service,
-		Host:     e.board.Self.Name,
+	x := &Explanation{
 		Snapshot: m.Snapshot(),
 		Change:   e.board.Tree.Load().N,
 	}
@@ -25,17 +48,17 @@
 		if c := p.replica(s, nil); c != nil {
 			chosen, found = c.target, true
 		}
-		x.Shards = append(x.Shards, e.explainShard(m, p.keeper, s, chosen, found))
+		x.Routes = append(x.Routes, e.explainShard(m, p.keeper, s, chosen, found))
 	}
 	return x, nil
 }
 
-func (e *Engine) explainShard(m *shard.Map, keeperOf func(string) (wire.Member, bool), s, chosen int, found bool) apiv1.Route {
-	r := apiv1.Route{Shard: s}
+func (e *Engine) explainShard(m *shard.Map, keeperOf func(string) (wire.Member, bool), s, chosen int, found bool) Route {
+	r := Route{Shard: s}
 	for _, t := range m.Shards[s] {
 		target := m.Targets[t]
 		k, kept := keeperOf(target.Name)
-		r.Replicas = append(r.Replicas, apiv1.Replica{
+		r.Replicas = append(r.Replicas, Replica{
 			Target:     target.Name,
 			Datacentre: target.Datacentre,
 			Keeper:     k.Name,
--- a/spec/keeper.pml
+++ b/spec/keeper.pml
@@ -13,7 +13,7 @@
 // Mapping to package keeper:
 //   hold            gate.hold (claim.go); any host may claim at any time, as views may differ in any way
 //   run2, run1      gate.flying at the target, by the ticks that are left; they go on when their host ends
-//   old2, old1      gate.ghosts: what another host reported as running (inherit)
+//   old2, old1      gate.orphans: what another host reported as running (inherit)
 //   sees, silent    roster: peer.silent, roster.ended (proof by a refused connection)
 //   confirmed       peer.confirmed; recheck and failed are the step to SILENT
 //   linger          roster.linger: a host whose end is proved while it wasn't confirmed counts until its requests have ended
@@ -52,7 +52,7 @@
 bool answered[2];
 byte handed[2]; // for how long it counts that the right was handed over
 
-bool heir[2]; // the right was given to the other host's present claim
+bool succ[2]; // the right was given to the other host's present claim
 bool crashed[2], paused[2], fenced[2], lapsed[2], hasPaused[2];
 byte pausedFor[2], blind[2], linger[2];
 bool cut, hasCut, hasCrashed;
@@ -105,19 +105,19 @@
 		if
 		:: hold[peer] == HELD && awake(peer) && mayRefuse -> ansRefused[h] = true
 		:: hold[peer] == CLAIM && awake(peer) && forClaim[h] && peer == 0 -> ansRefused[h] = true
-		:: hold[peer] == HELD && awake(peer) -> hold[peer] = IDLE; answered[peer] = false; waited[peer] = 0; ansHanded[h] = true; heir[peer] = true
+		:: hold[peer] == HELD && awake(peer) -> hold[peer] = IDLE; answered[peer] = false; waited[peer] = 0; ansHanded[h] = true; succ[peer] = true
 		:: hold[peer] == CLAIM && awake(peer) && forClaim[h] ->
 			hold[peer] = IDLE; answered[peer] = false; waited[peer] = 0;
 			if
-			:: handed[peer] > 0 -> ansHanded[h] = true; heir[peer] = true
-			:: else -> heir[peer] = false
+			:: handed[peer] > 0 -> ansHanded[h] = true; succ[peer] = true
+			:: else -> succ[peer] = false
 			fi;
 			handed[peer] = 0
 		:: hold[peer] == CLAIM && !forClaim[h] -> skip
 		:: hold[peer] == IDLE || !awake(peer) ->
 			if
-			:: hold[peer] == IDLE && awake(peer) && handed[peer] > 0 && forClaim[h] -> ansHanded[h] = true; heir[peer] = true
-			:: forClaim[h] && heir[peer] -> ansHanded[h] = true
+			:: hold[peer] == IDLE && awake(peer) && handed[peer] > 0 && forClaim[h] -> ansHanded[h] = true; succ[peer] = true
+			:: forClaim[h] && succ[peer] -> ansHanded[h] = true
 			:: else -> skip
 			fi;
 			hold[peer] = IDLE; answered[peer] = false; waited[peer] = 0;
@@ -186,13 +186,13 @@
 	:: d_step { running(h) && hold[h] == IDLE && awake(h) -> 
 			hold[h] = CLAIM; answered[h] = false; waited[h] = 0;
 			// Claims have numbers: what belongs to an earlier one counts no more.
-			heir[peer] = false; sent[h] = false; ans2[h] = 0; ans1[h] = 0; ansHanded[h] = false; ansRefused[h] = false; forClaim[h] = false; late[h] = false
+			succ[peer] = false; sent[h] = false; ans2[h] = 0; ans1[h] = 0; ansHanded[h] = false; ansRefused[h] = false; forClaim[h] = false; late[h] = false
 		}
 	:: atomic { reaches(h, peer) && !sent[h] && awake(h) && hold[h] == CLAIM && sees[h] == PRESENT && !answered[h] -> ask(h, true) }
 	:: atomic { reaches(h, peer) && !sent[h] && awake(h) && hold[h] == HELD && sees[h] == PRESENT && !confirmed[h] -> ask(h, true) }
 	:: atomic { sent[h] && running(h) -> hear(h) }
 	:: sent[h] -> lose(h)
-	:: d_step { running(h) && hold[h] == CLAIM && awake(h) && given(h) && flown(h) -> hold[h] = HELD; handed[h] = 0; heir[h] = false; answered[h] = false; waited[h] = 0 }
+	:: d_step { running(h) && hold[h] == CLAIM && awake(h) && given(h) && flown(h) -> hold[h] = HELD; handed[h] = 0; succ[h] = false; answered[h] = false; waited[h] = 0 }
 	// What this host sees of the other.
 	:: d_step { running(h) && sees[h] == PRESENT && (cut || (paused[peer] && pausedFor[peer] > PULSE) || crashed[peer]) ->
 			sees[h] = SILENT; silent[h] = 0; confirmed[h] = false; blind[h] = 0;
@@ -224,10 +224,10 @@
 	// The first look after the return ends what was given before the pause.
 	:: d_step { running(h) && lapsed[h] && !fenced[h] -> lapsed[h] = false;
 #ifndef NO_PULSE
-			hold[h] = IDLE; answered[h] = false; waited[h] = 0; handed[h] = 0; heir[h] = false
+			hold[h] = IDLE; answered[h] = false; waited[h] = 0; handed[h] = 0; succ[h] = false
 #endif
 		}
-	:: d_step { running(h) && !hasCrashed && faults < FAULTS -> faults++; crashed[h] = true; hasCrashed = true; hold[h] = IDLE; answered[h] = false; waited[h] = 0; handed[h] = 0; heir[h] = false; sees[h] = PRESENT; silent[h] = 0; linger[h] = 0; blind[h] = 0; confirmed[h] = false; old2[h] = 0; old1[h] = 0; fenced[h] = false; lapsed[h] = false; sent[h] = false; late[h] = false; ans2[h] = 0; ans1[h] = 0; ansHanded[h] = false; ansRefused[h] = false; forClaim[h] = false }
+	:: d_step { running(h) && !hasCrashed && faults < FAULTS -> faults++; crashed[h] = true; hasCrashed = true; hold[h] = IDLE; answered[h] = false; waited[h] = 0; handed[h] = 0; succ[h] = false; sees[h] = PRESENT; silent[h] = 0; linger[h] = 0; blind[h] = 0; confirmed[h] = false; old2[h] = 0; old1[h] = 0; fenced[h] = false; lapsed[h] = false; sent[h] = false; late[h] = false; ans2[h] = 0; ans1[h] = 0; ansHanded[h] = false; ansRefused[h] = false; forClaim[h] = false }
 	:: d_step { h == 0 && !hasCut && faults < FAULTS -> faults++; cut = true; hasCut = true }
 	:: d_step { h == 0 && cut -> cut = false }
 	od
--- a/spec/orders.pml
+++ b/spec/orders.pml
@@ -27,8 +27,8 @@
 bool floor = false;		/* the ticket is at or below the floor */
 byte open = 0;			/* orders under way at the minting host */
 byte pages = 0;			/* pages of the record at the successor: 2 is complete */
-mtype heirRec = none;
-bool heirFloor = false;
+mtype nextRec = none;
+bool nextFloor = false;
 byte runs = 0;			/* runs with the ticket */
 byte total = 0;			/* runs with the ticket or with a new one */
 bool told = false;		/* the caller got "not run" */
@@ -142,17 +142,17 @@
 	atomic {
 		if
 		:: pages == 0 -> result = no_answer
-		:: pages > 0 && heirRec == ran -> result = outcome
-		:: pages > 0 && heirRec == refused -> sayNotRun(result)
-		:: pages > 0 && (heirRec == unknown || heirRec == underway) -> result = maybe
-		:: pages > 0 && heirRec == none ->
+		:: pages > 0 && nextRec == ran -> result = outcome
+		:: pages > 0 && nextRec == refused -> sayNotRun(result)
+		:: pages > 0 && (nextRec == unknown || nextRec == underway) -> result = maybe
+		:: pages > 0 && nextRec == none ->
 			if
-			:: heirFloor -> result = maybe
+			:: nextFloor -> result = maybe
 #ifndef NO_COMPLETE
-			:: !heirFloor && pages < 2 -> result = maybe
-			:: !heirFloor && pages == 2 -> sayNotRun(result)
+			:: !nextFloor && pages < 2 -> result = maybe
+			:: !nextFloor && pages == 2 -> sayNotRun(result)
 #else
-			:: !heirFloor -> sayNotRun(result)
+			:: !nextFloor -> sayNotRun(result)
 #endif
 			fi
 		fi
@@ -231,7 +231,7 @@
 		};
 		open == 0;
 		pages = 1;		/* a first page, without this ticket's record */
-		atomic { pages = 2; heirRec = rec; heirFloor = floor };
+		atomic { pages = 2; nextRec = rec; nextFloor = floor };
 		host = gone
 	fi
 }
