query: learn of a very late target while its query still waits for it

Cause: with a host frozen, the first queries to meet its targets used up the budget's reserve for hedges (20 a host), waited to their deadline, and only then was the lateness of the targets learned; the queries of these 800 ms met the same targets. TestLateTargetIsAvoidedBeforeItsQueryEnds failed before.

--- a/query/attempt.go
+++ b/query/attempt.go
@@ -55,6 +55,8 @@
 	target int
 	shards []int
 	ended  bool
+	// suspected says that the flight's lateness was learned from while it was under way.
+	suspected bool
 }
 
 // call is one Ask at one keeper.
--- a/query/hedge.go
+++ b/query/hedge.go
@@ -42,12 +42,13 @@
 		if !c.late && age < a.delay {
 			continue
 		}
-		for _, f := range c.flights {
+		for name, f := range c.flights {
 			switch {
 			case f.ended:
 			case age < urgentFactor*a.delay:
 				late = append(late, a.hedgeable(f)...)
 			default:
+				a.suspect(now, name, f)
 				urgent = append(urgent, a.hedgeable(f)...)
 			}
 		}
@@ -58,6 +59,14 @@
 	a.send(ctx, late, hedge)
 }
 
+// suspect learns of a very late flight at once: the query may wait for it to its deadline, and others must not meet the same target meanwhile.
+func (a *attempt) suspect(now time.Time, name string, f *flight) {
+	if !f.suspected {
+		f.suspected = true
+		a.service.penalize(now, name, now.Sub(f.call.sent))
+	}
+}
+
 // hedgeable returns the shards that only this flight can bring and that have another replica.
 func (a *attempt) hedgeable(f *flight) (shards []int) {
 	p := a.engine.planner(a.service, a.m)
--- a/query/straggler_test.go
+++ b/query/straggler_test.go
@@ -174,10 +174,17 @@
 		b.SetPolicy(Policy{})
 		b.manual.Advance(10 * halfLife)
 		require.Equal(t, 1, chosen(), "time alone must not send a caller back to it")
-		a := b.query(t, "salt")
+		for _, name := range []string{"t1", "t2", "t3"} {
+			b.keepers.replicas[name].late = true
+		}
+		s.hedges.tokens = budgetReserve + 1
+		done := make(chan *Answer, 1)
+		go func() { done <- b.query(t, "salt") }()
+		require.Eventually(t, func() bool { return chosen() == 0 }, time.Minute, time.Millisecond, "the probe's reply ends the suspicion")
+		b.keepers.let("t1", "t2", "t3")
+		a := <-done
 		require.True(t, own(a, "salt"))
 		require.Equal(t, 1, a.Load.Hedges, "one probe beside the other replica")
-		require.Equal(t, 0, chosen(), "the probe's reply ends the suspicion")
 	})
 }
 
@@ -265,3 +272,30 @@
 		require.Equal(t, 2, a.load.Hedges)
 	})
 }
+
+func TestLateTargetIsAvoidedBeforeItsQueryEnds(t *testing.T) {
+	withEngine(t, func(b *bench) {
+		s := b.service(service1)
+		now := b.Engine.clock.Now()
+		for range minSamples {
+			s.learn(now, []wire.Result{{Target: "t2", Took: 5 * time.Millisecond}, {Target: "t3", Took: 5 * time.Millisecond}}, time.Second)
+		}
+		s.hedges.tokens = 0
+		b.set(t, "deadline", `"30s"`)
+		b.keepers.replicas["t2"].late = true
+		chosen := func() int {
+			return b.planner(s, testMap(1, 1, shardCount)).replica(2, nil).target
+		}
+		require.Equal(t, 2, chosen())
+		done := make(chan *Answer, 1)
+		go func() { done <- b.query(t, "salt") }()
+		<-b.keepers.waiting
+		stop := b.step()
+		require.Eventually(t, func() bool { return chosen() == 3 || len(done) > 0 }, time.Minute, time.Millisecond)
+		require.Equal(t, 3, chosen())
+		require.Empty(t, done, "the query has no budget for a hedge and must still wait for the target")
+		b.keepers.let("t2")
+		stop()
+		require.True(t, own(<-done, "salt"))
+	})
+}
