--- a/tree/tree_test.go
+++ b/tree/tree_test.go
@@ -216,3 +216,27 @@
 		require.NoError(t, err)
 	})
 }
+
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{"n":3,"last":"c","levels":{"saltlade":{"deadline":"1s"},"saltlade/fyn/dispatch":{"coverage":0.9}}}`,
+		`{"n":1,"last":"c","levels":{"a":{},"b":{"out":[]}}}`,
+		`{"n":0,"last":""}`,
+		`{"n":1,"last":"c","levels":{"saltlade":{"deadline":"1"}}}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		first, err := Decode(b)
+		if err != nil {
+			return
+		}
+		require.Empty(t, first.Check())
+		again, err := first.Encode()
+		require.NoError(t, err)
+		second, err := Decode(again)
+		require.NoError(t, err)
+		require.Equal(t, first.N, second.N)
+		require.Empty(t, first.Diff(second))
+	})
+}
