--- /dev/null
+++ b/cmd/kingcupcross/doc.go
@@ -0,0 +1,2 @@
+// Command kingcupcross is the query tier and its operators' tool.
+package main
--- a/cmd/kingcupcross/main.go
+++ b/cmd/kingcupcross/main.go
@@ -1,4 +1,3 @@
-// Command kingcupcross is the query tier and its operators' tool.
 package main
 
 import (
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,3 @@
-// Command standin runs emulated parts of the platform and emulated targets, each as a process of its own.
 package main
 
 import (
