query: one planner for all late sub-requests of a look

hedgeable made a planner, with a map as large as the targets, for each late sub-request; they are most where a host is already behind. One is made for each look, and only where something is late. Behaviour is the same; not measured.

--- a/query/hedge.go
+++ b/query/hedge.go
@@ -36,7 +36,7 @@
 // hedge asks another replica for the shards of the flights that are late; a hedge itself may be hedged where a further replica is left.
 func (a *attempt) hedge(ctx context.Context) {
 	now := a.engine.clock.Now()
-	var late, urgent []int
+	var late, urgent []*flight
 	for _, c := range a.calls {
 		age := now.Sub(c.sent) - a.delay/graceShare
 		if !c.late && age < a.delay {
@@ -46,17 +46,20 @@
 			switch {
 			case f.ended:
 			case age < urgentFactor*a.delay:
-				late = append(late, a.hedgeable(f)...)
+				late = append(late, f)
 			default:
 				a.suspect(now, name, f)
-				urgent = append(urgent, a.hedgeable(f)...)
+				urgent = append(urgent, f)
 			}
 		}
 	}
-	slices.Sort(urgent)
-	a.send(ctx, urgent, urgentHedge)
-	slices.Sort(late)
-	a.send(ctx, late, hedge)
+	if len(late) == 0 && len(urgent) == 0 {
+		return
+	}
+	p := a.engine.planner(a.service, a.m)
+	lateShards, urgentShards := a.hedgeable(p, late), a.hedgeable(p, urgent)
+	a.send(ctx, urgentShards, urgentHedge)
+	a.send(ctx, lateShards, hedge)
 }
 
 // suspect learns of a very late flight at once: the query may wait for it to its deadline, and others must not meet the same target meanwhile.
@@ -67,14 +70,16 @@
 	}
 }
 
-// hedgeable returns the shards that only this flight can bring and that have another replica.
-func (a *attempt) hedgeable(f *flight) (shards []int) {
-	p := a.engine.planner(a.service, a.m)
-	for _, s := range f.shards {
-		if !a.merge.has(s) && a.pending[s] == 1 && p.replica(s, a.tried[s]) != nil {
-			shards = append(shards, s)
+// hedgeable returns, in order, the shards that only these flights can bring and that have another replica.
+func (a *attempt) hedgeable(p *planner, flights []*flight) (shards []int) {
+	for _, f := range flights {
+		for _, s := range f.shards {
+			if !a.merge.has(s) && a.pending[s] == 1 && p.replica(s, a.tried[s]) != nil {
+				shards = append(shards, s)
+			}
 		}
 	}
+	slices.Sort(shards)
 	return shards
 }
 
