--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -20,7 +21,7 @@
 	h, err := LoadHost(name)
 	require.NoError(t, err)
 	require.Equal(t, "aarhus", h.Datacentre)
-	require.Equal(t, defaultGrace, h.Grace.D())
+	require.Equal(t, 30*time.Second, h.Grace.D())
 	require.Equal(t, uint16(3), h.Admin.Port())
 }
 
@@ -28,7 +29,7 @@
 	for _, f := range HostFields() {
 		require.NotEmpty(t, f.Doc, f.Key)
 		if f.Key == "grace" {
-			require.Equal(t, defaultGrace.String(), f.Default)
+			require.Equal(t, "30s", f.Default)
 			require.Equal(t, "1s to 10m", f.Bounds)
 		}
 	}
--- a/conf/front.go
+++ b/conf/front.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/netip"
-	"time"
 
 	"kingcupcross/units"
 )
@@ -46,34 +45,14 @@
 	Margin float64 `json:"margin" default:"5" min:"0" max:"1000" doc:"requests a second to a cold target beyond that, over all hosts"`
 }
 
-// Defaults and bounds as the tags state them.
-const (
-	defaultMetrics = 9190
-	defaultCores   = 1
-	defaultExtra   = 0.2
-	defaultSlack   = 50
-	defaultHeat    = 1.5
-	defaultMargin  = 5
-	frontGrace     = 6 * time.Second
-	frontApply     = 3 * time.Second
-)
-
 // LoadFront reads and checks the settings of a host on the users' platform; the error joins an Error for each finding.
 func LoadFront(name string) (*Front, error) {
 	f, err := Read(name)
 	if err != nil {
 		return nil, err
 	}
-	c := &Front{
-		Metrics: defaultMetrics,
-		Cores:   defaultCores,
-		Grace:   units.Duration(frontGrace),
-		Apply:   units.Duration(frontApply),
-		Extra:   defaultExtra,
-		Slack:   defaultSlack,
-		Heat:    defaultHeat,
-		Margin:  defaultMargin,
-	}
+	c := &Front{}
+	setDefaults(c)
 	err = f.Decode(c)
 	if err == nil {
 		err = errors.Join(f.checkFront(c)...)
@@ -96,24 +75,5 @@
 	if region, known := c.Datacentres[c.Datacentre]; c.Datacentre != "" && (!known || region != c.Region) {
 		all = append(all, f.Errorf("/datacentres", "%s must stand here with region %s: add \"%s\": \"%s\"", c.Datacentre, c.Region, c.Datacentre, c.Region))
 	}
-	ranges := []struct {
-		key              string
-		value, low, high float64
-		text             string
-	}{
-		{key: "metrics", value: float64(c.Metrics), low: 1, high: 65535, text: "1 to 65535"},
-		{key: "cores", value: c.Cores, low: 0.01, high: 1024, text: "0.01 to 1024"},
-		{key: "grace", value: c.Grace.D().Seconds(), low: 1, high: 600, text: "1s to 10m"},
-		{key: "apply", value: c.Apply.D().Seconds(), low: 0.5, high: 60, text: "500ms to 1m"},
-		{key: "extra", value: c.Extra, low: 0, high: 1, text: "0 to 1"},
-		{key: "slack", value: c.Slack, low: 0, high: 100000, text: "0 to 100000"},
-		{key: "heat", value: c.Heat, low: 1, high: 10, text: "1 to 10"},
-		{key: "margin", value: c.Margin, low: 0, high: 1000, text: "0 to 1000"},
-	}
-	for _, r := range ranges {
-		if !(r.value >= r.low && r.value <= r.high) {
-			all = append(all, f.Errorf("/"+r.key, "out of bounds: use %s", r.text))
-		}
-	}
-	return all
+	return append(all, f.checkBounds(c)...)
 }
--- a/conf/front_test.go
+++ b/conf/front_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -25,8 +26,8 @@
 func TestFrontHasDefaults(t *testing.T) {
 	f, err := loadFront(t, goodFront)
 	require.NoError(t, err)
-	require.Equal(t, frontApply, f.Apply.D())
-	require.Equal(t, defaultMetrics, f.Metrics)
+	require.Equal(t, 3*time.Second, f.Apply.D())
+	require.Equal(t, 9190, f.Metrics)
 }
 
 // TestFrontFindings names file, line, key and what to do.
--- a/conf/host.go
+++ b/conf/host.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"time"
 
 	"kingcupcross/logs"
 	"kingcupcross/units"
@@ -34,20 +33,14 @@
 	Log map[string]string `json:"log,omitempty" default:"{}" doc:"log level by subsystem, such as {\"keeper\": \"debug\"}; \"all\" sets the default"`
 }
 
-// Bounds of grace, as its tags state them.
-const (
-	defaultGrace  = 30 * time.Second
-	shortestGrace = time.Second
-	longestGrace  = 10 * time.Minute
-)
-
 // LoadHost reads and checks a host's settings file; the error joins an Error for each finding.
 func LoadHost(name string) (*Host, error) {
 	f, err := Read(name)
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{Grace: units.Duration(defaultGrace)}
+	h := &Host{}
+	setDefaults(h)
 	err = f.Decode(h)
 	if err == nil {
 		err = errors.Join(f.checkHost(h)...)
@@ -70,9 +63,7 @@
 func (f *File) checkHost(h *Host) []error {
 	all := f.checkNames(h.Name, h.Region, h.Datacentre)
 	all = append(all, f.checkAddresses(h)...)
-	if h.Grace.D() < shortestGrace || h.Grace.D() > longestGrace {
-		all = append(all, f.Errorf("/grace", "out of bounds: use %s to %s", shortestGrace, longestGrace))
-	}
+	all = append(all, f.checkBounds(h)...)
 	for _, name := range sortedNames(h.Log) {
 		if err := logs.Check(name, h.Log[name]); err != nil {
 			all = append(all, f.Errorf(Join("/log", name), "%v", err))
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -190,7 +190,7 @@
 		c.advance(config.Version)
 	}
 	sent.Origin, sent.Least, sent.Reserve, sent.Share = c.Self.Name, c.version.Load(), c.way.reserve(), c.Share()
-	k := c.ranks.Of(to.Name, priorLatency)
+	k := c.rank(to)
 	f := k.Begin(now)
 	a, err := c.exchange(ctx, to, &sent, now.Add(left))
 	switch {
@@ -285,13 +285,18 @@
 	}
 }
 
+// rank returns what is known of another host.
+func (c *Coord) rank(m Member) *rank.Rank {
+	return c.ranks.Of(m.Name, time.Time{}, priorLatency)
+}
+
 // best returns the coordinator that is expected to answer first of those that may see the request.
 func (c *Coord) best(r *relay.Request, others []Member, now time.Time) (Member, bool) {
 	if m := c.match(r); m != nil && !m.Allows(c.Self.Region) {
 		return Member{}, false
 	}
 	for _, m := range others {
-		if c.ranks.Of(m.Name, priorLatency).Estimate(now, 1000) < avoid {
+		if c.rank(m).Estimate(now, 1000) < avoid {
 			return m, true
 		}
 	}
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -241,7 +241,7 @@
 	withScene(t, func(s *scene) {
 		others, _ := s.coord.Chosen()
 		s.acts[others[0].Name] = func(context.Context) (*relay.Answer, error) {
-			return nil, &pool.Error{Refused: true, Err: errors.New("refused")}
+			return nil, &pool.Error{Err: errors.New("refused")}
 		}
 		a := s.ask("/once/1")
 		require.Equal(t, 200, a.Status)
--- a/coord/helper.go
+++ b/coord/helper.go
@@ -19,7 +19,7 @@
 	}
 	now := c.clock.Now()
 	for _, m := range Coordinators(own, c.Self.Region, nil) {
-		if c.ranks.Of(m.Name, priorLatency).Estimate(now, 1000) < avoid {
+		if c.rank(m).Estimate(now, 1000) < avoid {
 			return m, true
 		}
 	}
@@ -47,7 +47,7 @@
 	now := c.clock.Now()
 	r.Origin, r.Least, r.Share = c.Self.Name, r.Version, c.Share()
 	r.Reserve += c.helperWay.reserve()
-	k := c.ranks.Of(to.Name, priorLatency)
+	k := c.rank(to)
 	f := k.Begin(now)
 	a, err := c.exchange(ctx, to, r, deadline)
 	ended := c.clock.Now()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -64,8 +64,6 @@
 type Error struct {
 	// Sent says that bytes of the request may have reached the target.
 	Sent bool
-	// Refused says that nobody listens at the address.
-	Refused bool
 	// Late says that the time was over.
 	Late bool
 	Err  error
@@ -121,9 +119,8 @@
 	c, err := p.take(ctx, address, r.Fresh, deadline)
 	if err != nil {
 		return nil, &Error{
-			Refused: errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET),
-			Late:    errors.Is(err, context.DeadlineExceeded),
-			Err:     err,
+			Late: errors.Is(err, context.DeadlineExceeded),
+			Err:  err,
 		}
 	}
 	// A deadline in the past wakes a blocked read or write when the context ends.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -152,7 +153,7 @@
 	_, err = ask(withPool(t), &target{address: address}, Request{})
 	var lost *Error
 	require.True(t, errors.As(err, &lost))
-	require.True(t, lost.Refused)
+	require.ErrorIs(t, lost, syscall.ECONNREFUSED)
 	require.False(t, lost.Sent)
 }
 
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -37,8 +37,10 @@
 
 // Rank is what is known of one target.
 type Rank struct {
-	mu    sync.Mutex
+	born  time.Time
 	prior time.Duration
+
+	mu sync.Mutex
 	// mean and dev are the moving average of the latency and of its deviation.
 	mean, dev float64
 	at        time.Time
@@ -60,18 +62,28 @@
 	rhythm rhythm
 }
 
-// Of returns the rank of a target; prior is the latency that is expected of one that isn't known.
-func (t *Table) Of(id string, prior time.Duration) *Rank {
-	if r, known := t.ranks.Load(id); known {
-		return r.(*Rank)
+// Of returns the rank of a target that started at born, zero where that isn't told; prior is the latency that is expected of one that isn't known.
+func (t *Table) Of(id string, born time.Time, prior time.Duration) *Rank {
+	known, found := t.ranks.Load(id)
+	if found && known.(*Rank).born.Equal(born) {
+		return known.(*Rank)
 	}
-	r, _ := t.ranks.LoadOrStore(id, &Rank{
+	fresh := &Rank{
+		born:    born,
 		prior:   prior,
 		mean:    float64(prior),
 		dev:     float64(prior) / 2,
 		flights: map[*Flight]struct{}{},
 		rhythm:  &t.rhythm,
-	})
+	}
+	if found {
+		// What was learned of the process before says nothing of this one.
+		if t.ranks.CompareAndSwap(id, known, fresh) {
+			return fresh
+		}
+		return t.Of(id, born, prior)
+	}
+	r, _ := t.ranks.LoadOrStore(id, fresh)
 	return r.(*Rank)
 }
 
@@ -209,10 +221,3 @@
 	defer r.mu.Unlock()
 	return len(r.flights)
 }
-
-// Unreachable reports whether the target can't be reached at present.
-func (r *Rank) Unreachable(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now.Before(r.dead)
-}
--- a/rank/rank_test.go
+++ b/rank/rank_test.go
@@ -22,7 +22,7 @@
 
 func TestSlowTargetsComeLaterAndAreTriedAgain(t *testing.T) {
 	var table Table
-	fast, slow := table.Of("fast", prior), table.Of("slow", prior)
+	fast, slow := table.Of("fast", time.Time{}, prior), table.Of("slow", time.Time{}, prior)
 	now := feed(fast, start, 10, prior, Answered)
 	now = feed(slow, now, 10, 100*time.Millisecond, Answered)
 	require.Less(t, fast.Estimate(now, 2), slow.Estimate(now, 2))
@@ -32,7 +32,7 @@
 
 func TestOverdueRequestMarksATargetAsStalled(t *testing.T) {
 	var table Table
-	r := table.Of("a", prior)
+	r := table.Of("a", time.Time{}, prior)
 	now := feed(r, start, 20, prior, Answered)
 	calm := r.Estimate(now, 2)
 	f := r.Begin(now)
@@ -44,21 +44,32 @@
 
 func TestFailuresAndDeadTargets(t *testing.T) {
 	var table Table
-	r := table.Of("a", prior)
+	r := table.Of("a", time.Time{}, prior)
 	now := feed(r, start, 5, time.Millisecond, Failed)
 	require.Greater(t, r.Estimate(now, 2), 8*prior)
 	now = feed(r, now, 1, time.Millisecond, Dead)
-	require.True(t, r.Unreachable(now))
-	require.False(t, r.Unreachable(now.Add(deadFirst)))
+	require.Greater(t, r.Estimate(now, 2), deadPenalty)
+	require.Less(t, r.Estimate(now.Add(deadFirst), 2), deadPenalty)
 	now = feed(r, now.Add(deadFirst), 1, time.Millisecond, Dead)
-	require.True(t, r.Unreachable(now.Add(deadFirst)))
+	require.Greater(t, r.Estimate(now.Add(deadFirst), 2), deadPenalty)
 }
 
 func TestKeepForgets(t *testing.T) {
 	var table Table
-	r := table.Of("a", prior)
+	r := table.Of("a", time.Time{}, prior)
 	table.Keep(func(id string) bool { return id == "a" })
-	require.Same(t, r, table.Of("a", prior))
+	require.Same(t, r, table.Of("a", time.Time{}, prior))
 	table.Keep(func(string) bool { return false })
-	require.NotSame(t, r, table.Of("a", prior))
+	require.NotSame(t, r, table.Of("a", time.Time{}, prior))
+}
+
+// TestRestartedTargetIsNotTheOneBefore forgets failures and pauses of a target that started again under its id.
+func TestRestartedTargetIsNotTheOneBefore(t *testing.T) {
+	var table Table
+	before := table.Of("a", start, prior)
+	now := feed(before, start, 5, time.Millisecond, Dead)
+	require.Greater(t, before.Estimate(now, 2), deadPenalty)
+	after := table.Of("a", start.Add(time.Second), prior)
+	require.Less(t, after.Estimate(now, 2), deadPenalty)
+	require.Same(t, after, table.Of("a", start.Add(time.Second), prior))
 }
--- a/rank/rhythm_test.go
+++ b/rank/rhythm_test.go
@@ -50,7 +50,7 @@
 	var targets []pausing
 	for i := range 8 {
 		targets = append(targets, pausing{
-			rank:  table.Of(fmt.Sprint(i), prior),
+			rank:  table.Of(fmt.Sprint(i), time.Time{}, prior),
 			phase: time.Duration(i) * 370 * time.Millisecond,
 		})
 	}
@@ -64,7 +64,7 @@
 
 func TestIrregularStallsAreNotForeseen(t *testing.T) {
 	var table Table
-	r := table.Of("a", prior)
+	r := table.Of("a", time.Time{}, prior)
 	now := feed(r, start, 10, prior, Answered)
 	for i := range 20 {
 		now = now.Add(time.Duration(700+i*i*53) * time.Millisecond)
@@ -79,7 +79,7 @@
 // TestPausesThatEndAreForgotten stops warning once no pause was seen for many periods.
 func TestPausesThatEndAreForgotten(t *testing.T) {
 	var table Table
-	p := pausing{rank: table.Of("a", prior)}
+	p := pausing{rank: table.Of("a", time.Time{}, prior)}
 	play([]pausing{p}, start, 30*time.Second)
 	require.True(t, p.rank.pauses.regular)
 	later := p.rank.pauses.last.Add((forgetPeriods + 1) * period)
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -206,7 +206,7 @@
 }
 
 func (e *Engine) rank(t *roster.Entry) *rank.Rank {
-	return e.ranks.Of(t.ID, e.prior(t))
+	return e.ranks.Of(t.ID, t.Born, e.prior(t))
 }
 
 // idleShare is the part of a target's connections that all hosts together may keep idle.
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -48,7 +48,7 @@
 
 // closed has nobody listening.
 func closed() (time.Duration, *Reply, error) {
-	return time.Millisecond, nil, &pool.Error{Refused: true, Err: errors.New("refused")}
+	return time.Millisecond, nil, &pool.Error{Err: errors.New("refused")}
 }
 
 func recordOf(id string) []byte {
--- a/relay/group_test.go
+++ b/relay/group_test.go
@@ -76,7 +76,7 @@
 		},
 		{
 			name:  "nobody listens",
-			help:  func(*Request) (*Answer, error) { return nil, &pool.Error{Refused: true, Err: errors.New("refused")} },
+			help:  func(*Request) (*Answer, error) { return nil, &pool.Error{Err: errors.New("refused")} },
 			sends: 20,
 		},
 		{
--- a/relay/run.go
+++ b/relay/run.go
@@ -375,13 +375,20 @@
 	if len(p.flights) >= max(q.route.Attempts, 1)+repeats {
 		return nil
 	}
+	return q.fastest(p, now, func(t *roster.Entry) bool { return slices.Contains(p.asked, t.ID) })
+}
+
+// fastest returns the target of a part that is expected to answer first of those that may be asked, or nil.
+func (q *run) fastest(p *part, now time.Time, may func(*roster.Entry) bool) *roster.Entry {
+	e := q.engine
+	service := q.config.Services[p.service]
 	var best *roster.Entry
 	var least time.Duration
 	for _, t := range q.view.Services[p.service] {
-		if !slices.Contains(p.asked, t.ID) || q.engine.beliefs.Out(t.Datacentre) || !q.engine.cold.open(t, q.config.Services[p.service], now) {
+		if !q.route.Allows(t.Region) || e.beliefs.Out(t.Datacentre) || !e.cold.open(t, service, now) || !may(t) {
 			continue
 		}
-		if estimate := q.engine.rank(t).Estimate(now, t.Slots); best == nil || estimate < least {
+		if estimate := e.rank(t).Estimate(now, t.Slots); best == nil || estimate < least {
 			best, least = t, estimate
 		}
 	}
@@ -476,25 +483,16 @@
 		return nil
 	}
 	e := q.engine
-	service := q.config.Services[p.service]
-	conns := e.conns(service)
+	conns := e.conns(q.config.Services[p.service])
 	p.full = false
-	var best *roster.Entry
-	var least time.Duration
-	for _, t := range q.view.Services[p.service] {
-		if slices.Contains(p.asked, t.ID) || !q.route.Allows(t.Region) || e.beliefs.Out(t.Datacentre) || !e.cold.open(t, service, now) {
-			continue
-		}
-		r := e.rank(t)
-		if r.Under() >= conns {
-			p.full = true
-			continue
+	return q.fastest(p, now, func(t *roster.Entry) bool {
+		if slices.Contains(p.asked, t.ID) {
+			return false
 		}
-		if estimate := r.Estimate(now, t.Slots); best == nil || estimate < least {
-			best, least = t, estimate
-		}
-	}
-	return best
+		full := e.rank(t).Under() >= conns
+		p.full = p.full || full
+		return !full
+	})
 }
 
 // begin sends the first sub-request of a part.
--- a/relay/types.go
+++ b/relay/types.go
@@ -48,8 +48,6 @@
 	NotRun bool
 	// Misplaced says that another target has taken over the address.
 	Misplaced bool
-	// Leaving says that the target closes its connections.
-	Leaving bool
 }
 
 // Success reports whether the reply is a whole success that can be proved.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,8 +25,6 @@
 	Cold time.Duration
 	// Born is the time at which the target's process started, zero where it isn't told.
 	Born time.Time
-	// Sequence grows with each entry of one start of the target.
-	Sequence uint64
 	// Revision is the store's revision of the entry.
 	Revision uint64
 }
--- a/route/route.go
+++ b/route/route.go
@@ -71,16 +71,14 @@
 	Name string
 	// Conns is the number of connections that each target accepts from all hosts together; zero means unknown.
 	Conns int
-	// Cold is how long a target is cold after its start.
-	Cold time.Duration
 	// ColdRate is the number of requests a second that a cold target bears; zero means that none is stated.
 	ColdRate float64
 }
 
 // Limits bound what a caller may send; zero means no bound.
 type Limits struct {
+	// Body is the largest body, in bytes.
 	Body int64
-	Idle time.Duration
 }
 
 // Config is one version of the configuration; it isn't changed once it is built.
--- a/tree/check.go
+++ b/tree/check.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"reflect"
 	"slices"
-	"strconv"
 	"strings"
 	"unicode"
 
@@ -108,7 +107,7 @@
 	if list, ok := v.Interface().(*[]string); ok {
 		return checkList(*list)
 	}
-	return f.checkBounds(v.Elem())
+	return conf.CheckBounds(f.tag, v.Elem())
 }
 
 func checkList(list []string) string {
@@ -125,43 +124,6 @@
 	return ""
 }
 
-func (f field) checkBounds(v reflect.Value) string {
-	if choices := f.tag.Get("oneof"); choices != "" {
-		for _, c := range strings.Fields(choices) {
-			if v.String() == c {
-				return ""
-			}
-		}
-		return "use one of " + strings.ReplaceAll(choices, " ", ", ")
-	}
-	low, high := f.tag.Get("min"), f.tag.Get("max")
-	if low == "" {
-		return ""
-	}
-	if number(v) < f.bound(low) || number(v) > f.bound(high) {
-		return fmt.Sprintf("out of bounds: use %s to %s", low, high)
-	}
-	return ""
-}
-
-func (f field) bound(text string) float64 {
-	if n, err := strconv.ParseFloat(text, 64); err == nil {
-		return n
-	}
-	v := reflect.New(f.kind)
-	if err := json.Unmarshal([]byte(strconv.Quote(text)), v.Interface()); err != nil {
-		panic(fmt.Sprintf("bound of %s: %v", f.key, err))
-	}
-	return number(v.Elem())
-}
-
-func number(v reflect.Value) float64 {
-	if v.CanInt() {
-		return float64(v.Int())
-	}
-	return v.Float()
-}
-
 // checkTogether finds contradictions between the settings in force at one level, wherever each of them comes from.
 func (t *Tree) checkTogether(p Path) []Problem {
 	var all []Problem
--- a/tree/fields.go
+++ b/tree/fields.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"reflect"
 	"strings"
 
@@ -28,7 +27,7 @@
 		all = append(all, field{
 			key:      f.Tag.Get("json"),
 			index:    i,
-			fallback: fallbackOf(f),
+			fallback: conf.Fallback(f),
 			tag:      f.Tag,
 			kind:     f.Type,
 		})
@@ -36,20 +35,6 @@
 	return all
 }
 
-// fallbackOf returns the default as JSON: text is quoted, all other kinds are written in the tag as in JSON.
-func fallbackOf(f reflect.StructField) json.RawMessage {
-	value := f.Tag.Get("default")
-	zero := reflect.New(f.Type).Interface()
-	if json.Unmarshal([]byte(value), zero) == nil {
-		return json.RawMessage(value)
-	}
-	quoted, err := json.Marshal(value)
-	if err != nil {
-		panic(fmt.Sprintf("default of %s: %v", f.Name, err))
-	}
-	return quoted
-}
-
 func fieldOf(key string) (field, bool) {
 	for _, f := range fields {
 		if f.key == key {
