follow, front: requests at a start wait for the first configuration; targets that may come back are read sooner

Cause: a host refused requests as starting although its configuration came within 100 ms of its start, and a host that started while the targets' entries were lapsed read them again only after a second. Failed before: TestRequestsAtAStart, TestTargetsThatComeBackAfterAStart.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -20,6 +20,11 @@
 	targetsPeriod = time.Second
 	// watchShare is the part of the time within which a change is to be in force that one call waits for it: a call that hears nothing, although there was a change, is followed by one that does.
 	watchShare = 0.6
+	// returnPeriod is the time between two readings while targets are missing that may come back any moment, and returnLimit the time after a start or an outage in which they do: entries that lapsed are back within about two seconds.
+	returnPeriod = 250 * time.Millisecond
+	returnLimit  = 4 * time.Second
+	// startLimit is the time after a start within which a store that is well has given configuration and targets, also to a host with a fifth of a core.
+	startLimit = 300 * time.Millisecond
 	// retryPeriod is the time between two tries while the store gives no answer.
 	retryPeriod = 400 * time.Millisecond
 )
@@ -44,10 +49,12 @@
 	operator *board.Cell[route.Operator]
 	view     *board.Cell[roster.View]
 
-	// away says that the store gave no answer lately; targetsBack is since when the targets are read again after an outage.
-	away        atomic.Bool
-	targetsBack time.Time
+	// away says that the store gave no answer lately.
+	away atomic.Bool
+	// targetsLost says that the last reading of the targets failed; only their loop uses it.
 	targetsLost bool
+	// targetsBack is the time since which the targets are read again after an outage, zero before the first.
+	targetsBack atomic.Int64
 	// began is the time that the next fields count from, in nanoseconds, so that no step of the time of day moves them.
 	began time.Time
 	// operatorRead and targetsRead are the times of the last answers of the store, or of another host less the age that it stated.
@@ -92,6 +99,29 @@
 	return f.Config() != nil && !f.View().Read.IsZero()
 }
 
+// AwaitReady waits until configuration and targets are known, or can no longer be expected at once after the start.
+func (f *Follower) AwaitReady(ctx context.Context) {
+	left := startLimit - f.clock.Since(f.began)
+	if f.Ready() || left <= 0 {
+		return
+	}
+	due := f.clock.After(left)
+	for {
+		operatorChanged, viewChanged := f.operator.Changed(), f.view.Changed()
+		if f.Ready() {
+			return
+		}
+		select {
+		case <-operatorChanged:
+		case <-viewChanged:
+		case <-due:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // RunOperator follows the operator until the context ends.
 func (f *Follower) RunOperator(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -182,7 +212,8 @@
 		now := f.clock.Now()
 		f.targetsRead.Store(f.stamp(now))
 		if f.targetsLost {
-			f.targetsLost, f.targetsBack = false, now
+			f.targetsLost = false
+			f.targetsBack.Store(f.stamp(now))
 			f.regained("targets")
 		}
 		f.takeTargets(p, now)
@@ -194,7 +225,11 @@
 // awaitTargets waits until the targets are to be read again: after a while, or at once where a new configuration names a service without targets.
 func (f *Follower) awaitTargets(ctx context.Context) {
 	changed := f.operator.Changed()
-	due := f.clock.After(targetsPeriod)
+	period := targetsPeriod
+	if now := f.clock.Now(); f.mayReturn(now) && f.needsExact(now) {
+		period = returnPeriod
+	}
+	due := f.clock.After(period)
 	for {
 		select {
 		case <-changed:
@@ -210,6 +245,11 @@
 	}
 }
 
+// mayReturn reports whether targets that are missing may come back any moment.
+func (f *Follower) mayReturn(now time.Time) bool {
+	return now.Sub(f.began) < returnLimit || now.Sub(f.returned()) < returnLimit
+}
+
 // lagLimit is the time by which a reading of the targets may lag behind the operator's part before one is made that doesn't lag.
 const lagLimit = 1500 * time.Millisecond
 
@@ -237,9 +277,18 @@
 	return false
 }
 
+// returned returns the time at which the store was reached again after an outage, zero where there was none.
+func (f *Follower) returned() time.Time {
+	back := f.targetsBack.Load()
+	if back == 0 {
+		return time.Time{}
+	}
+	return f.began.Add(time.Duration(back))
+}
+
 func (f *Follower) takeTargets(p roster.Page, now time.Time) {
 	f.view.Update(func(old *roster.View) *roster.View {
-		next := old.Merge(p, now, f.targetsBack)
+		next := old.Merge(p, now, f.returned())
 		if next == nil {
 			f.scope.Counter("older_readings").Inc(1)
 			return nil
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -30,6 +30,8 @@
 	deaf      bool
 	compacted uint64
 	reads     int
+	// slow is the time that each reading takes.
+	slow time.Duration
 	// lagging is what readings of the targets return that needn't be exact, nil for the page itself.
 	lagging *roster.Page
 	changed chan struct{}
@@ -64,6 +66,7 @@
 func (s *shelf) store() Store {
 	return Store{
 		Operator: func(context.Context) (route.Operator, error) {
+			s.answer()
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
@@ -74,6 +77,7 @@
 		},
 		AwaitOperator: s.await,
 		Targets: func(_ context.Context, exact bool) (roster.Page, error) {
+			s.answer()
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
@@ -88,6 +92,14 @@
 	}
 }
 
+// answer takes the time of a reading.
+func (s *shelf) answer() {
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	time.Sleep(slow)
+}
+
 func (s *shelf) await(ctx context.Context, after uint64, wait time.Duration) (uint64, bool, error) {
 	s.mu.Lock()
 	s.reads++
@@ -142,6 +154,66 @@
 	})
 }
 
+// TestRequestsAtAStart wait for the first configuration and targets while these may come at once, and no longer.
+func TestRequestsAtAStart(t *testing.T) {
+	for _, one := range []struct {
+		name        string
+		slow, waits time.Duration
+		ready       bool
+	}{
+		{name: "store is well", slow: 60 * time.Millisecond, waits: 60 * time.Millisecond, ready: true},
+		{name: "store is slow", slow: 2 * time.Second, waits: startLimit},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newShelf(t)
+				s.slow = one.slow
+				f := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
+				ctx, cancel := context.WithCancel(context.Background())
+				var loops sync.WaitGroup
+				defer loops.Wait()
+				defer cancel()
+				loops.Go(func() { f.RunOperator(ctx) })
+				loops.Go(func() { f.RunTargets(ctx) })
+				began := time.Now()
+				f.AwaitReady(ctx)
+				require.Equal(t, one.waits, time.Since(began))
+				require.Equal(t, one.ready, f.Ready())
+				f.AwaitReady(ctx)
+				require.Equal(t, one.waits, time.Since(began), "a later request is not held up")
+			})
+		})
+	}
+}
+
+// TestTargetsThatComeBackAfterAStart are known soon: their entries had lapsed when all hosts lost power during an outage of the store.
+func TestTargetsThatComeBackAfterAStart(t *testing.T) {
+	withFollower(t, func(f *Follower, s *shelf) {
+		c, err := route.New(route.Config{Version: 2, Routes: []route.Route{{
+			Prefix:  "/",
+			Timeout: time.Second,
+			Shares:  []route.Share{{Service: "s", Weight: 1}},
+		}}})
+		require.NoError(t, err)
+		page := s.page
+		s.set(func() {
+			s.operator.Config = c
+			s.page = roster.Page{Revision: 1}
+		})
+		time.Sleep(1100 * time.Millisecond)
+		require.Empty(t, f.View().Services["s"])
+		page.Revision = 2
+		s.set(func() { s.page = page })
+		time.Sleep(returnPeriod + time.Millisecond)
+		require.Len(t, f.View().Services["s"], 1)
+		var before, after int
+		s.set(func() { before = s.reads })
+		time.Sleep(4 * targetsPeriod)
+		s.set(func() { after = s.reads })
+		require.LessOrEqual(t, after-before, 8, "readings are rare again")
+	})
+}
+
 // TestDeafWatch misses a change whose history is dropped, and still has it in force in time.
 func TestDeafWatch(t *testing.T) {
 	withFollower(t, func(f *Follower, s *shelf) {
--- a/front/front.go
+++ b/front/front.go
@@ -131,7 +131,7 @@
 	defer f.pool.Close()
 	defer f.dialer.Close()
 	var group run.Group
-	callers := f.ingress(f.coord.Handle, false)
+	callers := f.ingress(f.handle, false)
 	hosts := f.ingress(f.coord.Answer, true)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.PathReady, f.ready)
@@ -166,6 +166,12 @@
 	return err
 }
 
+// handle answers a caller; right after a start it waits for what the answer needs, which is sooner than the caller could come back.
+func (f *Front) handle(ctx context.Context, r *relay.Request) *relay.Answer {
+	f.follow.AwaitReady(ctx)
+	return f.coord.Handle(ctx, r)
+}
+
 func (f *Front) ingress(handle func(context.Context, *relay.Request) *relay.Answer, hosts bool) *http.Server {
 	return &http.Server{
 		Handler: &platform.Ingress{
