--- a/coord/coord.go
+++ b/coord/coord.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,6 +129,19 @@
 	return others, self
 }
 
+// mostSpares bounds the hosts that are asked at once for what the store can't tell.
+const mostSpares = 3
+
+// Spares returns some other hosts, at random: one of the own data centre, which a cut is least likely to keep away, and others of anywhere.
+func (c *Coord) Spares() []Member {
+	all := slices.DeleteFunc(slices.Clone(c.Members()), func(m Member) bool { return m.Name == c.Self.Name })
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	if near := slices.IndexFunc(all, func(m Member) bool { return m.Datacentre == c.Self.Datacentre }); near > 0 {
+		all[0], all[near] = all[near], all[0]
+	}
+	return all[:min(len(all), mostSpares)]
+}
+
 // Share returns the part of the limits over all hosts that this host may use: its own and those of the hosts that send their requests here.
 func (c *Coord) Share() float64 {
 	hosts := max(len(c.Members()), 1)
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,6 +49,8 @@
 	Sources func() []coord.Member
 	// Read asks another host for what differs from what is known, which it may hold back for feedWait.
 	Read func(ctx context.Context, from coord.Member, known Known) (State, error)
+	// Spares returns hosts to read from while this host can't reach the store or has learned nothing of it yet.
+	Spares func() []coord.Member
 	// Members returns the hosts that are known, SetMembers replaces them.
 	Members    func() []coord.Member
 	SetMembers func([]coord.Member)
@@ -95,6 +99,43 @@
 	return false
 }
 
+// RunSpares reads what other hosts know while this host can't learn it from the store, until the context ends.
+//
+// What they know may be old as well. It never replaces anything newer, and the store is tried all the while.
+func (f *Follower) RunSpares(ctx context.Context, feed Feed) error {
+	for ctx.Err() == nil {
+		if !f.Ready() || f.away.Load() {
+			f.readSpares(ctx, feed)
+		}
+		f.pause(ctx)
+	}
+	return nil
+}
+
+// readSpares asks all spares at once, since any of them may be away as well.
+func (f *Follower) readSpares(ctx context.Context, feed Feed) {
+	known := f.known(feed.Members())
+	limited, cancel := f.clock.WithTimeout(ctx, feedWait+feedGrace)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, m := range feed.Spares() {
+		all.Go(func() {
+			s, err := feed.Read(limited, m, known)
+			if err != nil {
+				f.scope.Counter("feed_failures").Inc(1)
+				f.log.Debug("views of a spare can't be had", zap.String("from", m.Name), zap.Error(err))
+				return
+			}
+			if s.Operator != nil || s.Targets != nil {
+				f.scope.Counter("spare_reads").Inc(1)
+				f.log.Info("views come from another host while the store can't be reached", zap.String("from", m.Name), zap.Duration("operator_age", s.OperatorAge), zap.Duration("targets_age", s.TargetsAge))
+			}
+			f.takeState(s, feed)
+		})
+	}
+	all.Wait()
+}
+
 func (f *Follower) known(members []coord.Member) Known {
 	o, v := f.operator.Load(), f.View()
 	return Known{
@@ -126,8 +167,18 @@
 	if len(s.Members) > 0 {
 		feed.SetMembers(s.Members)
 	}
-	f.operatorRead.Store(f.stamp(now.Add(-s.OperatorAge)))
-	f.targetsRead.Store(f.stamp(now.Add(-s.TargetsAge)))
+	later(&f.operatorRead, f.stamp(now.Add(-s.OperatorAge)))
+	later(&f.targetsRead, f.stamp(now.Add(-s.TargetsAge)))
+}
+
+// later moves a time forward, never back: another host may have heard of the store before this one did.
+func later(at *atomic.Int64, to int64) {
+	for {
+		old := at.Load()
+		if to <= old || at.CompareAndSwap(old, to) {
+			return
+		}
+	}
 }
 
 // Tell returns what differs from what another host knows, as soon as something does or after feedWait.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -357,3 +357,61 @@
 		require.Greater(t, state.TargetsAge, freshTargets)
 	})
 }
+
+// withSpare runs f with a follower whose store is away at its start and that may ask a host which reads another store.
+func withSpare(t *testing.T, f func(own *Follower, ownStore, otherStore *shelf)) {
+	withFollower(t, func(other *Follower, otherStore *shelf) {
+		time.Sleep(time.Second)
+		ownStore := newShelf(t)
+		ownStore.down = true
+		own := New(timer.New(), ownStore.store(), apply, zap.NewNop(), tally.NoopScope)
+		ctx, cancel := context.WithCancel(context.Background())
+		members := []coord.Member{}
+		feed := Feed{
+			Spares: func() []coord.Member { return []coord.Member{{Name: "dead"}, {Name: "other"}} },
+			Read: func(ctx context.Context, from coord.Member, k Known) (State, error) {
+				if from.Name == "dead" {
+					<-ctx.Done()
+					return State{}, ctx.Err()
+				}
+				return other.Tell(k, func() []coord.Member { return members }), nil
+			},
+			Members:    func() []coord.Member { return members },
+			SetMembers: func([]coord.Member) {},
+		}
+		var loops sync.WaitGroup
+		defer loops.Wait()
+		defer cancel()
+		loops.Go(func() { own.RunOperator(ctx) })
+		loops.Go(func() { own.RunTargets(ctx) })
+		loops.Go(func() { own.RunSpares(ctx, feed) })
+		f(own, ownStore, otherStore)
+	})
+}
+
+// TestStartWhileTheStoreIsAway takes what another host knows, at once, and goes on to the store's own word when it is back.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	withSpare(t, func(own *Follower, ownStore, _ *shelf) {
+		own.AwaitReady(context.Background())
+		require.True(t, own.Ready())
+		require.EqualValues(t, 1, own.Config().Version)
+		require.Len(t, own.View().Services["s"], 1)
+		ownStore.set(func() { ownStore.operator.Revision = 4 })
+		ownStore.put(t, 6)
+		ownStore.set(func() { ownStore.down = false })
+		time.Sleep(2 * retryPeriod)
+		require.EqualValues(t, 6, own.Config().Version)
+	})
+}
+
+// TestNewsWhileOnlyThisHostHasLostTheStore come from the others within about a second.
+func TestNewsWhileOnlyThisHostHasLostTheStore(t *testing.T) {
+	withSpare(t, func(own *Follower, _, otherStore *shelf) {
+		time.Sleep(3 * time.Second)
+		otherStore.put(t, 8)
+		otherStore.set(func() { otherStore.page = roster.Page{Revision: 5} })
+		time.Sleep(2 * (feedWait + feedGrace + retryPeriod))
+		require.EqualValues(t, 8, own.Config().Version)
+		require.Empty(t, own.View().Services["s"])
+	})
+}
--- a/front/fleet.go
+++ b/front/fleet.go
@@ -47,9 +47,9 @@
 	return f.dialer.Call(ctx, to.Views, follow.Views+".Ping", true, &alive)
 }
 
-// feed reads other hosts' views while this host sends its requests on.
-func (f *Front) feed(ctx context.Context) error {
-	return f.follow.RunFeed(ctx, follow.Feed{
+// feed says how this host reads other hosts' views.
+func (f *Front) feed() follow.Feed {
+	return follow.Feed{
 		Sources: func() []coord.Member {
 			if !f.coord.Few() {
 				return nil
@@ -65,9 +65,24 @@
 			err := f.dialer.Call(ctx, from.Views, follow.Views+".Read", known, &s)
 			return s, err
 		},
+		Spares:     f.spares,
 		Members:    f.coord.Members,
 		SetMembers: f.coord.SetMembers,
-	})
+	}
+}
+
+// spares returns hosts that may know what this one can't learn from the store: the seeds stand for the others until these are known.
+func (f *Front) spares() []coord.Member {
+	all := f.coord.Spares()
+	if f.follow.Ready() && len(all) > 0 {
+		return all
+	}
+	for _, s := range f.conf.Seeds {
+		if s != f.conf.Views {
+			all = append(all, coord.Member{Name: "seed " + s.String(), Views: s})
+		}
+	}
+	return all
 }
 
 // register keeps this host's entry in the store and reads those of the others.
