relay, rank, coord, follow, front: what can't be served is refused at once; hosts that are cut off send callers elsewhere; greetings in place of seeds

Cause: while a region was cut off, its hosts held each query over too few reachable shards to its deadline (504), let in less and less because answers were late (429), and stayed in the balancer's rotation. - A target without any answer for a while counts as silent (rank). Hosts greet a few others in their stead, which a host that can't reach the store asks for what they know. TestManyPausedTargets asks at the rate at which requests are tried, since sooner ones are refused; its bound stays.

--- a/cmds/metrics_test.go
+++ b/cmds/metrics_test.go
@@ -42,9 +42,12 @@
 	// The gauges of what a host believes are made where it is put together.
 	for name := range namesMade(t, "front") {
 		name = strings.TrimPrefix(name, "front_")
-		if name == "limits_share" {
+		switch name {
+		case "limits_share":
 			made["relay_"+name] = true
-		} else {
+		case "cut_off":
+			made["front_"+name] = true
+		default:
 			made["follow_"+name] = true
 		}
 	}
--- a/conf/front.go
+++ b/conf/front.go
@@ -25,8 +25,6 @@
 	Requests netip.AddrPort `json:"requests" doc:"address for requests that other hosts send on"`
 	// Views is where other hosts read configuration and targets.
 	Views netip.AddrPort `json:"views" doc:"address where other hosts read configuration and targets"`
-	// Seeds are addresses of Views of some hosts, for a start while the store can't be reached.
-	Seeds []netip.AddrPort `json:"seeds,omitempty" default:"[]" doc:"addresses of views of some hosts, for a start while the store can't be reached"`
 	// Cores is the processor time a second that the host may use.
 	Cores float64 `json:"cores" default:"1" min:"0.01" max:"1024" doc:"processor time a second that the host may use, by which coordinators are chosen"`
 	// Metrics is the port of the metrics page, at the address of Callers.
@@ -74,7 +72,6 @@
 		{key: "requests", value: c.Requests, dialled: true},
 		{key: "views", value: c.Views, dialled: true},
 	})...)
-	all = append(all, f.checkSeeds(c.Seeds)...)
 	if region, known := c.Datacentres[c.Datacentre]; c.Datacentre != "" && (!known || region != c.Region) {
 		all = append(all, f.Errorf("/datacentres", "%s must stand here with region %s: add \"%s\": \"%s\"", c.Datacentre, c.Region, c.Datacentre, c.Region))
 	}
--- a/conf/host.go
+++ b/conf/host.go
@@ -102,15 +102,9 @@
 		{key: "admin", value: h.Admin, dialled: true},
 		{key: "platform", value: h.Platform, dialled: true},
 	})
-	return append(all, f.checkSeeds(h.Seeds)...)
-}
-
-// checkSeeds finds seeds that nobody can reach.
-func (f *File) checkSeeds(seeds []netip.AddrPort) []error {
-	var all []error
-	for i, s := range seeds {
+	for i, s := range h.Seeds {
 		if s.Port() == 0 || s.Addr().IsUnspecified() {
-			all = append(all, f.Errorf(fmt.Sprintf("/seeds/%d", i), "nobody can reach %s: use the address of a host for other hosts", s))
+			all = append(all, f.Errorf(fmt.Sprintf("/seeds/%d", i), "nobody can reach %s: use the peers' address of a host", s))
 		}
 	}
 	return all
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -142,6 +144,32 @@
 	return all[:min(len(all), mostSpares)]
 }
 
+const (
+	// greetedNear is the number of hosts of the own data centre that a host greets.
+	greetedNear = 2
+	// greetedAll is the number of hosts of any data centre that it greets besides: they look after a data centre that was down as a whole.
+	greetedAll = 1
+)
+
+// Next returns the hosts that follow this one in its data centre and among all, in an order that all hosts agree on, so that each host has a few that look after it.
+func (c *Coord) Next() []Member {
+	weight := func(m Member) uint64 { return xxhash.Sum64String(m.Name) }
+	all := slices.DeleteFunc(slices.Clone(c.Members()), func(m Member) bool { return m.Name == c.Self.Name })
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(weight(a)-weight(c.Self), weight(b)-weight(c.Self)) })
+	var next []Member
+	near := 0
+	for i, m := range all {
+		own := m.Datacentre == c.Self.Datacentre && near < greetedNear
+		if own {
+			near++
+		}
+		if own || i < greetedAll {
+			next = append(next, m)
+		}
+	}
+	return next
+}
+
 // Share returns the part of the limits over all hosts that this host may use: its own and those of the hosts that send their requests here.
 func (c *Coord) Share() float64 {
 	hosts := max(len(c.Members()), 1)
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -290,3 +291,67 @@
 		require.InDelta(t, shareOfAll/hosts, s.coord.Share(), 1e-9)
 	})
 }
+
+// TestApart tells the smaller side of a cut from the larger one, and a data centre whose hosts are down from a cut.
+func TestApart(t *testing.T) {
+	for _, one := range []struct {
+		name        string
+		datacentres int
+		silent      []string
+		apart       bool
+	}{
+		{name: "all answer", datacentres: 3},
+		{name: "one of three is away", datacentres: 3, silent: []string{"d1"}},
+		{name: "two of three are away", datacentres: 3, silent: []string{"d1", "d2"}, apart: true},
+		{name: "a region of three is away", datacentres: 6, silent: []string{"d1", "d2"}},
+		{name: "two regions of three are away", datacentres: 6, silent: []string{"d2", "d3", "d4", "d5"}, apart: true},
+		{name: "one of two regions is away", datacentres: 6, silent: []string{"d3", "d4", "d5"}},
+		{name: "one of two is away", datacentres: 2, silent: []string{"d1"}},
+		{name: "there is no other", datacentres: 1},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			var all []Member
+			for i := range 3 * one.datacentres {
+				all = append(all, member(i, fmt.Sprintf("d%d", i%one.datacentres), 1))
+			}
+			c := New(timer.New(), Parts{
+				Self: all[0],
+				Ping: func(_ context.Context, to Member) error {
+					// The first host of each data centre is down.
+					if slices.Contains(one.silent, to.Datacentre) || to.Name < fmt.Sprintf("h%02d", one.datacentres) {
+						return errSilent
+					}
+					return nil
+				},
+			}, zap.NewNop(), tally.NoopScope)
+			c.SetMembers(all)
+			require.Equal(t, one.apart, c.Apart(context.Background()))
+		})
+	}
+}
+
+// TestEachHostIsGreeted by some of its data centre and some of all, and greets only a few.
+func TestEachHostIsGreeted(t *testing.T) {
+	var all []Member
+	for i := range 60 {
+		all = append(all, member(i, fmt.Sprintf("d%d", i%6), 1))
+	}
+	near, anywhere := map[string]int{}, map[string]int{}
+	for _, m := range all {
+		c := New(timer.New(), Parts{Self: m}, zap.NewNop(), tally.NoopScope)
+		c.SetMembers(all)
+		next := c.Next()
+		require.LessOrEqual(t, len(next), greetedNear+greetedAll)
+		for _, to := range next {
+			require.NotEqual(t, m.Name, to.Name)
+			anywhere[to.Name]++
+			if to.Datacentre == m.Datacentre {
+				near[to.Name]++
+			}
+		}
+	}
+	for _, m := range all {
+		require.GreaterOrEqual(t, near[m.Name], greetedNear)
+		require.GreaterOrEqual(t, anywhere[m.Name], greetedNear)
+	}
+}
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -104,21 +104,28 @@
 // What they know may be old as well. It never replaces anything newer, and the store is tried all the while.
 func (f *Follower) RunSpares(ctx context.Context, feed Feed) error {
 	for ctx.Err() == nil {
+		var greeted []coord.Member
+		select {
+		case m := <-f.greeted:
+			greeted = append(greeted, m)
+		case <-f.clock.After(retryPeriod):
+		case <-ctx.Done():
+			return nil
+		}
 		if !f.Ready() || f.away.Load() {
-			f.readSpares(ctx, feed)
+			f.readSpares(ctx, feed, append(feed.Spares(), greeted...))
 		}
-		f.pause(ctx)
 	}
 	return nil
 }
 
 // readSpares asks all spares at once, since any of them may be away as well.
-func (f *Follower) readSpares(ctx context.Context, feed Feed) {
+func (f *Follower) readSpares(ctx context.Context, feed Feed, spares []coord.Member) {
 	known := f.known(feed.Members())
 	limited, cancel := f.clock.WithTimeout(ctx, feedWait+feedGrace)
 	defer cancel()
 	var all sync.WaitGroup
-	for _, m := range feed.Spares() {
+	for _, m := range spares {
 		all.Go(func() {
 			s, err := feed.Read(limited, m, known)
 			if err != nil {
@@ -238,6 +245,16 @@
 	return nil
 }
 
+// Greet takes note of a host that knows configuration and targets, and tells whether this one does.
+func (s *Service) Greet(from coord.Member, reply *bool) error {
+	*reply = s.follower.Ready()
+	select {
+	case s.follower.greeted <- from:
+	default:
+	}
+	return nil
+}
+
 // Ping answers at once.
 func (s *Service) Ping(_ bool, reply *bool) error {
 	*reply = true
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/board"
+	"kingcupcross/coord"
 	"kingcupcross/roster"
 	"kingcupcross/route"
 	"kingcupcross/timer"
@@ -63,6 +64,8 @@
 	operatorSet atomic.Int64
 	// fed is the time until which another host's views stand for the store's.
 	fed atomic.Int64
+	// greeted holds the last host that said that it knows configuration and targets.
+	greeted chan coord.Member
 }
 
 // ErrCompacted says that the store has dropped the history after a revision.
@@ -79,6 +82,7 @@
 		began:    clock.Now(),
 		operator: board.NewCell(&route.Operator{}),
 		view:     board.NewCell(roster.Empty()),
+		greeted:  make(chan coord.Member, 1),
 	}
 }
 
@@ -94,6 +98,9 @@
 // Out reports whether a data centre is out of service.
 func (f *Follower) Out(datacentre string) bool { return f.operator.Load().Out[datacentre] }
 
+// Away reports whether the store gave no answer lately.
+func (f *Follower) Away() bool { return f.away.Load() }
+
 // Ready reports whether configuration and targets are known.
 func (f *Follower) Ready() bool {
 	return f.Config() != nil && !f.View().Read.IsZero()
@@ -196,12 +203,18 @@
 
 // RunTargets follows the targets until the context ends.
 func (f *Follower) RunTargets(ctx context.Context) error {
+	var exactAt time.Time
 	for ctx.Err() == nil {
 		if f.Fed() {
 			f.pause(ctx)
 			continue
 		}
-		exact := f.needsExact(f.clock.Now())
+		now := f.clock.Now()
+		// Readings that follow each other soon needn't be exact each time.
+		exact := f.needsExact(now) && now.Sub(exactAt) >= targetsPeriod
+		if exact {
+			exactAt = now
+		}
 		p, err := f.store.Targets(ctx, exact)
 		if err != nil {
 			f.targetsLost = true
@@ -209,7 +222,7 @@
 			f.pause(ctx)
 			continue
 		}
-		now := f.clock.Now()
+		now = f.clock.Now()
 		f.targetsRead.Store(f.stamp(now))
 		if f.targetsLost {
 			f.targetsLost = false
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -50,9 +50,16 @@
 func (s *shelf) put(t *testing.T, version uint64) {
 	c, err := route.New(route.Config{Version: version})
 	require.NoError(t, err)
+	var revision uint64
+	s.set(func() { revision = s.operator.Revision + 1 })
+	s.change(route.Operator{Config: c, Out: map[string]bool{}, Revision: revision})
+}
+
+// change replaces the operator's part, of which watches hear.
+func (s *shelf) change(o route.Operator) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.operator = route.Operator{Config: c, Out: map[string]bool{}, Revision: s.operator.Revision + 1}
+	s.operator = o
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -196,13 +203,11 @@
 		}}})
 		require.NoError(t, err)
 		page := s.page
-		s.set(func() {
-			s.operator.Config = c
-			s.page = roster.Page{Revision: 1}
-		})
+		s.set(func() { s.page = roster.Page{Revision: 2} })
+		s.change(route.Operator{Config: c, Revision: 2})
 		time.Sleep(1100 * time.Millisecond)
 		require.Empty(t, f.View().Services["s"])
-		page.Revision = 2
+		page.Revision = 3
 		s.set(func() { s.page = page })
 		time.Sleep(returnPeriod + time.Millisecond)
 		require.Len(t, f.View().Services["s"], 1)
@@ -273,10 +278,8 @@
 		s.set(func() {
 			s.lagging = &old
 			s.page = roster.Page{Revision: 9, Targets: []roster.Target{{ID: "n", Service: "new", Revision: 9}}}
-			s.operator = route.Operator{Config: c, Revision: 9}
-			close(s.changed)
-			s.changed = make(chan struct{})
 		})
+		s.change(route.Operator{Config: c, Revision: 9})
 		time.Sleep(time.Millisecond)
 		require.EqualValues(t, 2, f.Config().Version)
 		require.Len(t, f.View().Services["new"], 1)
@@ -368,7 +371,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		members := []coord.Member{}
 		feed := Feed{
-			Spares: func() []coord.Member { return []coord.Member{{Name: "dead"}, {Name: "other"}} },
+			Spares: func() []coord.Member { return []coord.Member{{Name: "dead"}} },
 			Read: func(ctx context.Context, from coord.Member, k Known) (State, error) {
 				if from.Name == "dead" {
 					<-ctx.Done()
@@ -385,6 +388,15 @@
 		loops.Go(func() { own.RunOperator(ctx) })
 		loops.Go(func() { own.RunTargets(ctx) })
 		loops.Go(func() { own.RunSpares(ctx, feed) })
+		loops.Go(func() {
+			for ctx.Err() == nil {
+				var known bool
+				if err := NewService(own, nil).Greet(coord.Member{Name: "other"}, &known); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		})
 		f(own, ownStore, otherStore)
 	})
 }
--- a/front/fleet.go
+++ b/front/fleet.go
@@ -21,6 +21,8 @@
 	renewPeriod = 6 * time.Second
 	// membersPeriod is the time between two readings of the hosts, and that between two tries to register.
 	membersPeriod = 2 * time.Second
+	// greetPeriod is the time between two greetings: a host that has started is greeted within about a second, as several greet it.
+	greetPeriod = time.Second
 	// pingTimeout is how long a host may take for an answer that needs no work: two ways between regions and a busy processor.
 	pingTimeout = 150 * time.Millisecond
 )
@@ -65,24 +67,30 @@
 			err := f.dialer.Call(ctx, from.Views, follow.Views+".Read", known, &s)
 			return s, err
 		},
-		Spares:     f.spares,
+		Spares:     f.coord.Spares,
 		Members:    f.coord.Members,
 		SetMembers: f.coord.SetMembers,
 	}
 }
 
-// spares returns hosts that may know what this one can't learn from the store: the seeds stand for the others until these are known.
-func (f *Front) spares() []coord.Member {
-	all := f.coord.Spares()
-	if f.follow.Ready() && len(all) > 0 {
-		return all
-	}
-	for _, s := range f.conf.Seeds {
-		if s != f.conf.Views {
-			all = append(all, coord.Member{Name: "seed " + s.String(), Views: s})
+// greet tells some hosts, one after the other, that this one knows configuration and targets: a host that has just started and can't reach the store has no other way to learn of any host.
+func (f *Front) greet(ctx context.Context) error {
+	for turn := 0; ; turn++ {
+		if f.clock.Sleep(ctx, greetPeriod) != nil {
+			return nil
+		}
+		next := f.coord.Next()
+		if len(next) == 0 || !f.follow.Ready() {
+			continue
+		}
+		limited, cancel := f.clock.WithTimeout(ctx, pingTimeout)
+		var known bool
+		to := next[turn%len(next)]
+		if err := f.dialer.Call(limited, to.Views, follow.Views+".Greet", f.coord.Self, &known); err != nil {
+			f.log.Debug("host can't be greeted", zap.String("to", to.Name), zap.Error(err))
 		}
+		cancel()
 	}
-	return all
 }
 
 // register keeps this host's entry in the store and reads those of the others.
--- a/front/front.go
+++ b/front/front.go
@@ -60,6 +60,8 @@
 	dialer  *wire.Dialer
 	pool    *pool.Pool
 	leaving atomic.Bool
+	// apart says that the host is cut off and can't serve.
+	apart atomic.Bool
 }
 
 // New builds a host from its settings; read reads their file again.
@@ -158,6 +160,8 @@
 	f.addLoop(&group, f.follow.RunTargets)
 	f.addLoop(&group, f.sweep)
 	f.addLoop(&group, f.register)
+	f.addLoop(&group, f.greet)
+	f.addLoop(&group, f.watchCut)
 	f.addLoop(&group, func(ctx context.Context) error { return f.follow.RunFeed(ctx, f.feed()) })
 	f.addLoop(&group, func(ctx context.Context) error { return f.follow.RunSpares(ctx, f.feed()) })
 	f.addStop(&group, callers, hosts)
@@ -178,7 +182,7 @@
 		Handler: &platform.Ingress{
 			Handle:  handle,
 			MaxBody: f.maxBody,
-			Leaving: f.leaving.Load,
+			Leaving: f.aside,
 			Hosts:   hosts,
 		},
 		ReadHeaderTimeout: headerTimeout,
@@ -196,7 +200,7 @@
 
 // ready answers the balancer.
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
-	if f.leaving.Load() || !f.follow.Ready() {
+	if f.aside() || !f.follow.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -259,6 +263,8 @@
 			draining++
 		}
 	}
+	scope.Gauge("store_reachable").Update(flag(!f.follow.Away()))
+	f.meter.Scope.SubScope("front").Gauge("cut_off").Update(flag(f.apart.Load()))
 	scope.Gauge("targets").Update(float64(len(view.Entries)))
 	scope.Gauge("targets_draining").Update(draining)
 	operator, targets := f.follow.Ages()
@@ -331,3 +337,11 @@
 		}
 	}
 }
+
+// flag returns a fact as a gauge shows it.
+func flag(fact bool) float64 {
+	if fact {
+		return 1
+	}
+	return 0
+}
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -26,6 +26,11 @@
 	devWeight = 3
 	// leastSamples is the number of latencies from which one that is far above the others is taken for a pause.
 	leastSamples = 3
+	// silentLeast and silentMeans bound the time without any answer after which a target counts as silent: it covers pauses, and work that takes several times as long as usual.
+	silentLeast = 600 * time.Millisecond
+	silentMeans = 8
+	// silentMisses is the least number of requests without an answer for that.
+	silentMisses = 2
 	// overdueSlack is added to that, for the processor's and the network's jitter.
 	overdueSlack = 6 * time.Millisecond
 )
@@ -52,8 +57,13 @@
 	dead    time.Time
 	backoff time.Duration
 	flights map[*Flight]struct{}
-	rhythm  *rhythm
-	pauses  pauses
+	// unanswered is the start of the first request since the last answer, zero where all are answered; misses counts those that ended without one.
+	unanswered time.Time
+	misses     int
+	// usual is the moving average of the latency of whole answers only.
+	usual  float64
+	rhythm *rhythm
+	pauses pauses
 }
 
 // Table holds the ranks by target.
@@ -72,6 +82,7 @@
 		born:    born,
 		prior:   prior,
 		mean:    float64(prior),
+		usual:   float64(prior),
 		dev:     float64(prior) / 2,
 		flights: map[*Flight]struct{}{},
 		rhythm:  &t.rhythm,
@@ -103,6 +114,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.flights[f] = struct{}{}
+	if r.unanswered.IsZero() {
+		r.unanswered = now
+	}
 	return f
 }
 
@@ -115,6 +129,8 @@
 	Answered Outcome = iota
 	// Failed is an answer or an end of the connection that is no success.
 	Failed
+	// Unanswered is a request whose time was over without a sign of the target.
+	Unanswered
 	// Dead is a target that can't be reached or isn't the one that was meant.
 	Dead
 	// Dropped is a request that nobody waits for any more.
@@ -128,7 +144,17 @@
 	delete(r.flights, f)
 	took := now.Sub(f.start)
 	switch o {
+	case Answered, Failed:
+		r.unanswered, r.misses = time.Time{}, 0
+		if len(r.flights) > 0 {
+			r.unanswered = now
+		}
+	default:
+		r.misses++
+	}
+	switch o {
 	case Answered:
+		r.usual += weight * (float64(took) - r.usual)
 		if took > r.overdue(now) && r.samples >= leastSamples {
 			r.pause(now, took, time.Duration(r.mean))
 		}
@@ -138,7 +164,7 @@
 		}
 		r.fail(now, 0)
 		r.dead, r.backoff = time.Time{}, 0
-	case Failed:
+	case Failed, Unanswered:
 		r.fail(now, 1)
 	case Dead:
 		r.fail(now, 1)
@@ -215,6 +241,19 @@
 	return time.Duration(estimate)
 }
 
+// Silent reports whether the target hasn't answered for so long, or can't be reached, that an answer isn't to be expected.
+func (r *Rank) Silent(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.dead) {
+		return true
+	}
+	if r.unanswered.IsZero() || r.misses+len(r.flights) < silentMisses {
+		return false
+	}
+	return now.Sub(r.unanswered) > max(silentLeast, time.Duration(silentMeans*r.usual))
+}
+
 // Under returns the number of requests under way at the target.
 func (r *Rank) Under() int {
 	r.mu.Lock()
--- a/rank/rank_test.go
+++ b/rank/rank_test.go
@@ -73,3 +73,26 @@
 	require.Less(t, after.Estimate(now, 2), deadPenalty)
 	require.Same(t, after, table.Of("a", start.Add(time.Second), prior))
 }
+
+// TestSilentTarget is one that hasn't answered for a while, not one that pauses or works long.
+func TestSilentTarget(t *testing.T) {
+	var table Table
+	r := table.Of("a", time.Time{}, prior)
+	now := feed(r, start, 10, prior, Answered)
+	r.Begin(now)
+	paused := r.Begin(now)
+	require.False(t, r.Silent(now.Add(silentLeast)))
+	require.True(t, r.Silent(now.Add(silentLeast+time.Millisecond)))
+	r.End(paused, now.Add(silentLeast), Failed)
+	require.False(t, r.Silent(now.Add(silentLeast+time.Millisecond)), "a failure is a sign of life")
+	long := table.Of("long", time.Time{}, prior)
+	now = feed(long, start, 20, 200*time.Millisecond, Answered)
+	long.Begin(now)
+	long.Begin(now)
+	require.False(t, long.Silent(now.Add(time.Second)))
+	require.True(t, long.Silent(now.Add(2*time.Second)))
+	idle := table.Of("idle", time.Time{}, prior)
+	idle.Begin(start)
+	require.False(t, idle.Silent(start.Add(time.Hour)), "one request proves nothing")
+	require.True(t, func() bool { idle.Begin(start); return idle.Silent(start.Add(time.Hour)) }())
+}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,21 @@
 	}
 }
 
+// slowShare is the part of the latency objective from which usual replies are slow: half of the time is spent waiting then.
+const slowShare = 0.4
+
+// congested reports whether the request's targets had too much to do: they refused some of it, or most replies took long. Targets that are silent while the others answer as always are no reason to let in less.
+func (q *run) congested() bool {
+	if q.sheds > 0 {
+		return true
+	}
+	if len(q.times) == 0 {
+		return false
+	}
+	slices.Sort(q.times)
+	return q.times[len(q.times)/2] > time.Duration(slowShare*float64(q.route.Aim))
+}
+
 func (l *load) paceOf(group string) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -57,6 +57,8 @@
 	labels  labels
 	load    load
 	cold    *coldGate
+	probes  probes
+	blocked chan struct{}
 	log     *zap.Logger
 	scope   tally.Scope
 }
@@ -72,6 +74,7 @@
 		helpers: Helpers{Has: func(string) bool { return false }},
 		log:     log,
 		scope:   scope,
+		blocked: make(chan struct{}, 1),
 	}
 	e.budgets = newBudgets(limits.Extra, func() float64 {
 		return limits.Slack * beliefs.Share()
@@ -136,6 +139,7 @@
 		}
 		e.budgets.keep(known)
 		e.load.keep(known)
+		e.probes.keep(known)
 	}
 }
 
--- a/relay/fanout_test.go
+++ b/relay/fanout_test.go
@@ -129,7 +129,10 @@
 		}
 		const queries = 40
 		for range queries {
-			l.ask("/all/1")
+			// One that comes sooner is refused at once, since nothing answers.
+			time.Sleep(probePeriod)
+			a, _ := l.ask("/all/1")
+			require.Contains(t, []fault.Kind{fault.TooLate, fault.Failed}, a.Fault.Kind)
 		}
 		extra := l.sent() - queries*10
 		require.LessOrEqual(t, float64(extra), 10*(0.2*queries+50/float64(l.hosts)))
--- a/relay/pressure_test.go
+++ b/relay/pressure_test.go
@@ -162,3 +162,18 @@
 		}
 	})
 }
+
+// TestSilentShardsTakeNoRoom lets everybody in while a few shards are silent and answers come late for it: fewer requests at once would not bring these shards back.
+func TestSilentShardsTakeNoRoom(t *testing.T) {
+	withFleet(t, func(l *fleet) {
+		l.fanout(20, 0.89)
+		for _, s := range []string{"s00", "s01", "s02"} {
+			l.set(s, 0, silent)
+			l.set(s, 1, silent)
+		}
+		for range 3 {
+			l.ask("/all/1")
+		}
+		require.InDelta(t, 1, l.engine.load.paceOf(l.config.Routes[0].Shards[0]), 0)
+	})
+}
--- a/relay/report.go
+++ b/relay/report.go
@@ -55,8 +55,8 @@
 	case took > q.route.Aim:
 		outcome = "late"
 	}
-	if q.admitted && outcome != "left" {
-		e.load.learn(groupOf(q.route, q.parts[0]), a.Fault != nil || took > q.route.Aim-q.request.Reserve)
+	if late := a.Fault != nil || took > q.route.Aim-q.request.Reserve; q.admitted && outcome != "left" && (!late || q.congested()) {
+		e.load.learn(groupOf(q.route, q.parts[0]), late)
 	}
 	scope := e.scope.Tagged(map[string]string{"outcome": outcome, "route": e.labels.of(q.route.Name)})
 	scope.Counter("requests").Inc(1)
--- a/relay/run.go
+++ b/relay/run.go
@@ -59,8 +59,11 @@
 	// ran says that something of the request may have run.
 	ran             bool
 	hedges, retries int
-	failed          *Reply
-	cause           string
+	// times are those of the replies, sheds the number of refusals by targets.
+	times  []time.Duration
+	sheds  int
+	failed *Reply
+	cause  string
 }
 
 // part is one service that is to answer.
@@ -186,6 +189,11 @@
 	if reachable < q.needed {
 		return fail(fault.New(fault.NoReplica, "%d of %d shards have a target, %d are needed", reachable, len(q.parts), q.needed))
 	}
+	if lively := q.lively(chosen, now); lively < q.needed && !e.probes.turn(groupOf(q.route, q.parts[0]), now) {
+		e.scope.Counter("silent_refusals").Inc(1)
+		e.block()
+		return fail(fault.New(fault.NoReplica, "%d of %d shards have a target that answers, %d are needed", lively, len(q.parts), q.needed).After(silentRetry))
+	}
 	delegated := q.delegate(chosen)
 	for i, p := range q.parts {
 		switch {
@@ -269,6 +277,9 @@
 	if q.route.Fanout() && now.Before(q.aim) && q.aim.Before(at) {
 		at = q.aim
 	}
+	if look := now.Add(silentCheck); q.route.Fanout() && !now.Before(q.aim) && look.Before(at) {
+		at = look
+	}
 	for _, p := range q.parts {
 		if p.reply != nil || p.lost {
 			continue
@@ -311,12 +322,16 @@
 		notRun = r.reply.NotRun || r.reply.Misplaced
 	}
 	q.ran = q.ran || !notRun
+	if notRun && r.reply != nil {
+		q.sheds++
+	}
 	if p.reply != nil || p.lost {
 		return
 	}
 	if r.reply != nil && q.final(r.reply) {
 		p.reply = r.reply
 		q.done++
+		q.times = append(q.times, q.engine.clock.Since(f.sent))
 		return
 	}
 	if r.reply != nil && !notRun {
@@ -441,6 +456,9 @@
 			q.unload(f)
 			q.hedge(p, now)
 		}
+		if q.route.Fanout() && !now.Before(q.aim) && p.silent(now) {
+			q.lose(p)
+		}
 	}
 }
 
@@ -541,6 +559,8 @@
 		return rank.Dropped
 	case errors.As(err, &lost) && !lost.Sent:
 		return rank.Dead
+	case errors.As(err, &lost) && lost.Late:
+		return rank.Unanswered
 	case err != nil:
 		return rank.Failed
 	case reply.Misplaced:
