pool, relay, front: connections for hedges are set up ahead

Cause: a hedge on the grown site went to a far replica without a connection; its set-up (a round trip of 16 ms and 6 ms in a slot) took it past the objective: sub-requests of hedges had been open for 44 ms at the median when the answer left without them.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -114,6 +114,24 @@
 	return c.few.Load()
 }
 
+// Busy reports whether this host answers requests itself, its own or those of others.
+func (c *Coord) Busy() bool {
+	return !c.few.Load() || c.answersForOthers()
+}
+
+// answersForOthers reports whether another host sent requests here lately.
+func (c *Coord) answersForOthers() bool {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.origins {
+		if now.Sub(o.at) <= delegated {
+			return true
+		}
+	}
+	return false
+}
+
 // Chosen returns the other coordinators of the region in this host's own order, and whether this host is one itself.
 func (c *Coord) Chosen() (others []Member, self bool) {
 	view := c.View()
--- a/coord/helper.go
+++ b/coord/helper.go
@@ -28,10 +28,7 @@
 
 // HasHelper reports whether another host can answer for the shards of a data centre; only coordinators ask others, since a host with its own load knows the targets itself.
 func (c *Coord) HasHelper(datacentre string) bool {
-	c.mu.Lock()
-	busy := len(c.origins) > 0
-	c.mu.Unlock()
-	if !busy {
+	if !c.answersForOthers() {
 		return false
 	}
 	_, found := c.helper(datacentre)
--- a/front/front.go
+++ b/front/front.go
@@ -159,6 +159,7 @@
 	f.addLoop(&group, f.follow.RunOperator)
 	f.addLoop(&group, f.follow.RunTargets)
 	f.addLoop(&group, f.sweep)
+	f.addLoop(&group, f.warm)
 	f.addLoop(&group, f.register)
 	f.addLoop(&group, f.greet)
 	f.addLoop(&group, f.watchCut)
@@ -236,6 +237,22 @@
 	group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
+// warm sets up connections for hedges while this host answers requests itself.
+func (f *Front) warm(ctx context.Context) error {
+	tick := f.clock.Every(relay.WarmPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if f.coord.Busy() {
+				f.engine.Warm(ctx, f.pool.Ready, f.pool.Prepare)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // sweep drops what is no longer needed.
 func (f *Front) sweep(ctx context.Context) error {
 	tick := f.clock.Every(sweepPeriod)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -87,6 +87,8 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
+	// stated is the idle time that the last answer with one stated, zero before the first.
+	stated time.Duration
 
 	dials, reuses, stale tally.Counter
 }
@@ -219,14 +221,8 @@
 		}
 		c.Close()
 	}
-	p.dials.Inc(1)
-	ctx, cancel := p.clock.WithTimeout(ctx, min(deadline.Sub(now), dialTimeout))
-	defer cancel()
-	n, err := p.dial(ctx, address)
+	n, err := p.connect(ctx, address, deadline.Sub(now))
 	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
-		}
 		return nil, err
 	}
 	if fresh && !quiet(n) {
@@ -234,7 +230,51 @@
 		n.Close()
 		return nil, syscall.ECONNRESET
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferSize)}, nil
+	return newConn(n), nil
+}
+
+func newConn(n net.Conn) *conn {
+	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferSize)}
+}
+
+func (p *Pool) connect(ctx context.Context, address netip.AddrPort, timeout time.Duration) (net.Conn, error) {
+	p.dials.Inc(1)
+	ctx, cancel := p.clock.WithTimeout(ctx, min(timeout, dialTimeout))
+	defer cancel()
+	n, err := p.dial(ctx, address)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
+	}
+	return n, err
+}
+
+// Ready reports whether a connection to an address is kept that can be used at once.
+func (p *Pool) Ready(address netip.AddrPort) bool {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		if now.Before(c.until) && quiet(c.Conn) {
+			return true
+		}
+	}
+	return false
+}
+
+// Prepare sets up a connection to an address for a later request.
+func (p *Pool) Prepare(ctx context.Context, address netip.AddrPort) error {
+	n, err := p.connect(ctx, address, dialTimeout)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	limit := p.stated
+	p.mu.Unlock()
+	if limit == 0 {
+		limit = idleLimit
+	}
+	p.keep(address, newConn(n), limit, 1)
+	return nil
 }
 
 func (p *Pool) pop(address netip.AddrPort) *conn {
@@ -250,12 +290,20 @@
 	return c
 }
 
-// put keeps a connection, in place of the one unused for longest where there are keep already.
+// put keeps a connection after an answer, as long as the answer allows.
 func (p *Pool) put(address netip.AddrPort, c *conn, h http.Header, keep int) {
 	limit := idleLimit
 	if stated, ok := keepAlive(h); ok {
 		limit = min(limit, stated-keepAliveMargin)
+		p.mu.Lock()
+		p.stated = limit
+		p.mu.Unlock()
 	}
+	p.keep(address, c, limit, keep)
+}
+
+// keep holds a connection for limit, in place of the one unused for longest where there are most already.
+func (p *Pool) keep(address netip.AddrPort, c *conn, limit time.Duration, most int) {
 	c.until = p.clock.Now().Add(limit)
 	if limit <= 0 || c.SetDeadline(time.Time{}) != nil {
 		c.Close()
@@ -264,7 +312,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := append(p.idle[address], c)
-	if len(all) > max(keep, 1) {
+	if len(all) > max(most, 1) {
 		all[0].Close()
 		all = all[1:]
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -197,3 +197,15 @@
 	}
 	require.Len(t, p.idle[s.address], 2)
 }
+
+// TestPreparedConnection is used by the next request, and not offered once the target has closed it.
+func TestPreparedConnection(t *testing.T) {
+	s, p := withTarget(t, whole), withPool(t)
+	require.False(t, p.Ready(s.address))
+	require.NoError(t, p.Prepare(context.Background(), s.address))
+	require.True(t, p.Ready(s.address))
+	_, err := ask(p, s, Request{Keep: 1})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, s.connections.Load())
+	require.Error(t, p.Prepare(context.Background(), netip.MustParseAddrPort("127.0.0.1:1")))
+}
