coord, relay: spare coordinators send their requests on; the budget's slack comes back over its window

Cause: spares answered their own few requests with a small share of the limits and little knowledge (budget 0.2 left in most of their late answers).

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -132,16 +132,19 @@
 	return false
 }
 
-// Chosen returns the other coordinators of the region in this host's own order, and whether this host is one itself.
+// Chosen returns the other coordinators of the region in this host's own order, and whether this host answers its own requests as one of them.
+//
+// A spare has few requests while the others live and so sends its own on as well.
 func (c *Coord) Chosen() (others []Member, self bool) {
 	view := c.View()
 	targets := map[string]int{}
 	for _, e := range view.Entries {
 		targets[e.Datacentre]++
 	}
-	for _, m := range order(Coordinators(c.Members(), c.Self.Region, targets), c.Self.Name) {
+	all := order(Coordinators(c.Members(), c.Self.Region, targets), c.Self.Name)
+	for i, m := range all {
 		if m.Name == c.Self.Name {
-			self = true
+			self = i < len(all)-spares
 			continue
 		}
 		others = append(others, m)
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -3,38 +3,66 @@
 import (
 	"math"
 	"sync"
+	"time"
+
+	"kingcupcross/timer"
 )
 
 // earnShare is the part of the allowed share that a host earns, which leaves room for requests that are counted in another window.
 const earnShare = 0.9
 
+const (
+	// burstShare is the part of the slack that can be spent at once; the rest comes back over the window, so that no window gets more than all of it.
+	burstShare = 0.75
+	// budgetWindow is the time over which the platform counts sub-requests on top of the first ones.
+	budgetWindow = 10 * time.Second
+)
+
 // budgets holds for each service the sub-requests that this host may send on top of the first ones.
 //
 // The bound holds for the sum over all hosts: what a host earns with its own requests adds up to the share, and the slack is divided.
 type budgets struct {
 	// share is earned with each request; most is the bound of what can be kept.
 	share float64
-	most  func() float64
+	// slack is this host's part of what may be spent in a window beyond the share.
+	slack func() float64
+	clock *timer.Service
 
 	mu     sync.Mutex
-	tokens map[string]float64
+	tokens map[string]*tokens
+}
+
+// tokens are what is left for one service.
+type tokens struct {
+	left float64
+	at   time.Time
 }
 
-func newBudgets(share float64, most func() float64) *budgets {
-	return &budgets{share: share * earnShare, most: most, tokens: map[string]float64{}}
+func newBudgets(clock *timer.Service, share float64, slack func() float64) *budgets {
+	return &budgets{clock: clock, share: share * earnShare, slack: slack, tokens: map[string]*tokens{}}
+}
+
+// of returns what is left for a service now; the lock is held.
+func (b *budgets) of(service string, slack float64, now time.Time) *tokens {
+	k := b.tokens[service]
+	if k == nil {
+		k = &tokens{left: burstShare * slack, at: now}
+		b.tokens[service] = k
+	}
+	back := (1 - burstShare) * slack * now.Sub(k.at).Seconds() / budgetWindow.Seconds()
+	k.left = min(k.left+back, max(burstShare*slack, 1))
+	k.at = now
+	return k
 }
 
 // earn counts one request for each service.
 func (b *budgets) earn(services ...string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	most := b.most()
+	slack, now := b.slack(), b.clock.Now()
 	for _, s := range services {
-		have, known := b.tokens[s]
-		if !known {
-			have = most
-		}
-		b.tokens[s] = min(have+b.share, most)
+		k := b.of(s, slack, now)
+		k.left = min(k.left+b.share, max(burstShare*slack, 1))
 	}
 }
 
@@ -42,10 +70,11 @@
 func (b *budgets) spend(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens[service] < 1 {
+	k := b.of(service, b.slack(), b.clock.Now())
+	if k.left < 1 {
 		return false
 	}
-	b.tokens[service]--
+	k.left--
 	return true
 }
 
@@ -53,11 +82,10 @@
 func (b *budgets) least(parts []*part) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	least := b.most()
+	slack, now := b.slack(), b.clock.Now()
+	least := burstShare * slack
 	for _, p := range parts {
-		if have, known := b.tokens[p.service]; known {
-			least = min(least, have)
-		}
+		least = min(least, b.of(p.service, slack, now).left)
 	}
 	return math.Round(10*least) / 10
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -76,7 +76,7 @@
 		scope:   scope,
 		blocked: make(chan struct{}, 1),
 	}
-	e.budgets = newBudgets(limits.Extra, func() float64 {
+	e.budgets = newBudgets(clock, limits.Extra, func() float64 {
 		return limits.Slack * beliefs.Share()
 	})
 	e.cold = newColdGate(limits, beliefs.Share)
