--- a/rank/rank.go
+++ b/rank/rank.go
@@ -254,6 +254,13 @@
 	return now.Sub(r.unanswered) > max(silentLeast, time.Duration(silentMeans*r.usual))
 }
 
+// Usual returns the latency of the target's whole answers, without its pauses' and failures' effect on what is expected.
+func (r *Rank) Usual() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.usual)
+}
+
 // Under returns the number of requests under way at the target.
 func (r *Rank) Under() int {
 	r.mu.Lock()
--- a/relay/fanout_test.go
+++ b/relay/fanout_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupcross/fault"
+	"kingcupcross/rank"
+	"kingcupcross/roster"
 )
 
 func TestWholeAnswer(t *testing.T) {
@@ -192,3 +194,29 @@
 	require.Equal(t, want, got)
 	require.Empty(t, greatest(nil, 4))
 }
+
+// TestUnsteadyTargetThatStalls is given up on while another can still answer by the objective, although its own latencies would allow for longer.
+func TestUnsteadyTargetThatStalls(t *testing.T) {
+	withFleet(t, func(l *fleet) {
+		l.fanout(20, 0.89)
+		near, far := l.view.Services["s03"][0], l.view.Services["s03"][1]
+		learn := func(e *roster.Entry, took time.Duration) {
+			r := l.engine.rank(e)
+			f := r.Begin(time.Now())
+			time.Sleep(took)
+			r.End(f, time.Now(), rank.Answered)
+		}
+		for range 10 {
+			learn(near, 10*time.Millisecond)
+			learn(near, 80*time.Millisecond)
+			learn(far, 60*time.Millisecond)
+		}
+		require.Greater(t, l.engine.rank(near).Overdue(time.Now()), aim-answerMargin-60*time.Millisecond)
+		l.set("s03", 0, silent)
+		l.set("s03", 1, answers(60*time.Millisecond, "far"))
+		a, took := l.ask("/all/1")
+		require.Nil(t, a.Fault)
+		require.Zero(t, a.Missing)
+		require.Less(t, took, aim)
+	})
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -22,6 +22,8 @@
 	loserLinger = 300 * time.Millisecond
 	// goneLinger is the same after the caller has left.
 	goneLinger = 200 * time.Millisecond
+	// hedgeMargin is the time before the last moment for a hedge at which it is sent, for the jitter of its way and work.
+	hedgeMargin = 8 * time.Millisecond
 	// recheck is the time after which a hedge that was not possible is thought of again.
 	recheck = 10 * time.Millisecond
 	// repeatDelay is the time before a target that failed is asked again, doubled with each sub-request.
@@ -519,6 +521,22 @@
 	q.launch(p, to, now)
 }
 
+// lastHedge returns the latest time at which another target of a part can still be asked to answer by the objective, or a time after it where that is too soon to tell anything.
+func (q *run) lastHedge(p *part, first *roster.Entry, now time.Time) time.Time {
+	if len(p.flights) > 0 {
+		return q.end
+	}
+	other := q.fastest(p, now, func(t *roster.Entry) bool { return t != first })
+	if other == nil {
+		return q.end
+	}
+	last := q.aim.Add(-q.engine.rank(other).Estimate(now, other.Slots) - hedgeMargin)
+	if last.Sub(now) < q.engine.rank(first).Usual() {
+		return q.end
+	}
+	return last
+}
+
 // launch sends a sub-request.
 func (q *run) launch(p *part, to *roster.Entry, now time.Time) {
 	e := q.engine
@@ -531,6 +549,9 @@
 		sent:  now,
 		check: now.Add(r.Overdue(now)),
 	}
+	if last := q.lastHedge(p, to, now); q.route.Fanout() && last.Before(f.check) {
+		f.check = last
+	}
 	if !slices.Contains(p.asked, to.ID) {
 		p.asked = append(p.asked, to.ID)
 	}
