--- a/rank/rank.go
+++ b/rank/rank.go
@@ -27,7 +27,7 @@
 	// leastSamples is the number of latencies from which one that is far above the others is taken for a pause.
 	leastSamples = 3
 	// silentLeast and silentMeans bound the time without any answer after which a target counts as silent: it covers pauses, and work that takes several times as long as usual.
-	silentLeast = 600 * time.Millisecond
+	silentLeast = 400 * time.Millisecond
 	silentMeans = 8
 	// silentMisses is the least number of requests without an answer for that.
 	silentMisses = 2
