follow, roster: views travel between hosts as changes, compressed

Cause: each change of one target's entry had all entries sent to each host that is fed (405 entries to 65 hosts, about once a second while shards are cut anew), and each version of the configuration its whole text.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -36,8 +36,10 @@
 
 // State is what a host tells another: the parts that differ, and how old its knowledge is.
 type State struct {
-	Operator *route.Operator
-	Targets  *roster.Page
+	// Operator is a route.Operator, Targets a roster.Page; Changes stand for Targets where the earlier view is known.
+	Operator Packed
+	Targets  Packed
+	Changes  *roster.Changes
 	Members  []coord.Member
 	// OperatorAge and TargetsAge are the times since the store was last heard of.
 	OperatorAge, TargetsAge time.Duration
@@ -133,7 +135,7 @@
 				f.log.Debug("views of a spare can't be had", zap.String("from", m.Name), zap.Error(err))
 				return
 			}
-			if s.Operator != nil || s.Targets != nil {
+			if s.Operator != nil || s.Targets != nil || s.Changes != nil {
 				f.scope.Counter("spare_reads").Inc(1)
 				f.log.Info("views come from another host while the store can't be reached", zap.String("from", m.Name), zap.Duration("operator_age", s.OperatorAge), zap.Duration("targets_age", s.TargetsAge))
 			}
@@ -157,19 +159,16 @@
 func (f *Follower) takeState(s State, feed Feed) {
 	now := f.clock.Now()
 	if s.Operator != nil {
-		o := *s.Operator
-		if o.Config != nil {
-			// The index doesn't travel.
-			indexed, err := route.New(*o.Config)
-			if err != nil {
-				f.log.Error("another host's configuration can't be used", zap.Error(err))
-			}
-			o.Config = indexed
+		if o, err := unpackOperator(s.Operator); err != nil {
+			f.log.Error("another host's configuration can't be used", zap.Error(err))
+		} else {
+			f.takeOperator(o)
 		}
-		f.takeOperator(o)
 	}
-	if s.Targets != nil {
-		f.takeTargets(*s.Targets, now)
+	if p, err := f.targetsOf(s); err != nil {
+		f.log.Error("another host's targets can't be used", zap.Error(err))
+	} else if p != nil {
+		f.takeTargets(*p, now)
 	}
 	if len(s.Members) > 0 {
 		feed.SetMembers(s.Members)
@@ -178,6 +177,32 @@
 	later(&f.targetsRead, f.stamp(now.Add(-s.TargetsAge)))
 }
 
+// targetsOf returns the targets that another host told, nil where it told none that are new here.
+func (f *Follower) targetsOf(s State) (*roster.Page, error) {
+	switch {
+	case s.Targets != nil:
+		var p roster.Page
+		return &p, s.Targets.unpack(&p)
+	case s.Changes != nil:
+		// Where the view has changed meanwhile, the next question brings what is missing.
+		if p, applies := f.View().Apply(*s.Changes); applies {
+			return &p, nil
+		}
+	}
+	return nil, nil
+}
+
+// unpackOperator returns an operator's part with its index, which doesn't travel.
+func unpackOperator(p Packed) (route.Operator, error) {
+	var o route.Operator
+	if err := p.unpack(&o); err != nil || o.Config == nil {
+		return o, err
+	}
+	indexed, err := route.New(*o.Config)
+	o.Config = indexed
+	return o, err
+}
+
 // later moves a time forward, never back: another host may have heard of the store before this one did.
 func later(at *atomic.Int64, to int64) {
 	for {
@@ -216,16 +241,33 @@
 	var s State
 	s.OperatorAge, s.TargetsAge = f.Ages()
 	if o := f.operator.Load(); o.Config != nil && o.Sum() != known.Operator && o.Revision >= known.OperatorRevision {
-		s.Operator = o
+		packed, err := f.operatorPacks.of(o.Sum(), o)
+		if err != nil {
+			f.log.Error("configuration can't be told to other hosts", zap.Error(err))
+		}
+		s.Operator = packed
 	}
 	if v := f.View(); !v.Read.IsZero() && v.Sum != known.Targets && v.Revision >= known.TargetsRevision {
-		p := v.Page()
-		s.Targets = &p
+		f.tellTargets(&s, v, known.Targets)
 	}
 	if coord.Sum(members) != known.Members {
 		s.Members = members
 	}
-	return s, s.Operator != nil || s.Targets != nil || s.Members != nil
+	return s, s.Operator != nil || s.Targets != nil || s.Changes != nil || s.Members != nil
+}
+
+// tellTargets adds what leads from a known view to the present one, or all of it where the known one isn't remembered.
+func (f *Follower) tellTargets(s *State, v *roster.View, known uint64) {
+	if old := f.past.find(known); old != nil {
+		c := v.Since(old)
+		s.Changes = &c
+		return
+	}
+	packed, err := f.targetsPacks.of(v.Sum, v.Page())
+	if err != nil {
+		f.log.Error("targets can't be told to other hosts", zap.Error(err))
+	}
+	s.Targets = packed
 }
 
 // Service answers the calls of other hosts.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -64,6 +64,9 @@
 	operatorSet atomic.Int64
 	// fed is the time until which another host's views stand for the store's.
 	fed atomic.Int64
+	// operatorPacks, targetsPacks and past are what other hosts are told from.
+	operatorPacks, targetsPacks packs
+	past                        past
 	// greeted holds the last host that said that it knows configuration and targets.
 	greeted chan coord.Member
 }
@@ -307,6 +310,9 @@
 			return nil
 		}
 		f.say(old, next)
+		if next.Sum != old.Sum {
+			f.past.add(next)
+		}
 		return next
 	})
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -427,3 +428,35 @@
 		require.Empty(t, own.View().Services["s"])
 	})
 }
+
+// TestFeedTellsChangesOnly has a host that is fed hear of one target among many by its entry alone, and of all again where the source doesn't remember what it knew.
+func TestFeedTellsChangesOnly(t *testing.T) {
+	withFollower(t, func(source *Follower, s *shelf) {
+		page := roster.Page{Revision: 2}
+		for i := range 300 {
+			page.Targets = append(page.Targets, roster.Target{ID: fmt.Sprint("t", i), Service: "s", Revision: 2})
+		}
+		s.set(func() { s.page = page })
+		time.Sleep(1100 * time.Millisecond)
+		fed := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
+		members := func() []coord.Member { return nil }
+		feed := Feed{SetMembers: func([]coord.Member) {}}
+		all := source.Tell(fed.known(nil), members)
+		require.NotEmpty(t, all.Targets)
+		fed.takeState(all, feed)
+		require.Equal(t, source.View().Sum, fed.View().Sum)
+		page.Targets = append([]roster.Target{}, page.Targets...)
+		page.Targets[7].Draining, page.Targets[7].Revision, page.Revision = true, 3, 3
+		s.set(func() { s.page = page })
+		time.Sleep(1100 * time.Millisecond)
+		changes := source.Tell(fed.known(nil), members)
+		require.Empty(t, changes.Targets)
+		require.Len(t, changes.Changes.Changed, 1)
+		fed.takeState(changes, feed)
+		require.Equal(t, source.View().Sum, fed.View().Sum)
+		require.Len(t, fed.View().Services["s"], 299)
+		stranger := fed.known(nil)
+		stranger.Targets++
+		require.NotEmpty(t, source.Tell(stranger, members).Targets)
+	})
+}
