--- a/relay/group.go
+++ b/relay/group.go
@@ -62,15 +62,22 @@
 		r.Shards = append(r.Shards, p.place)
 	}
 	q.asking++
+	q.asked = append(q.asked, g)
 	go func() {
-		g.answer, g.err = e.helpers.Ask(q.work, g.datacentre, &r, q.end)
-		q.groups <- g
+		done := *g
+		done.answer, done.err = e.helpers.Ask(q.work, g.datacentre, &r, q.end)
+		q.groups <- &done
 	}()
 }
 
 // takeGroup takes what another host has merged; where it certainly asked nobody, the parts are asked for from here.
 func (q *run) takeGroup(g *group) {
 	q.asking--
+	for i, asked := range q.asked {
+		if asked.datacentre == g.datacentre {
+			q.asked[i] = g
+		}
+	}
 	e := q.engine
 	var lost *pool.Error
 	unsent := errors.As(g.err, &lost) && !lost.Sent
--- a/relay/report.go
+++ b/relay/report.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"sync"
@@ -96,12 +97,31 @@
 	if a.Fault != nil {
 		fields = append(fields, zap.String("cause", a.Fault.Text), zap.Bool("ran", q.mayHaveRun()), zap.Duration("retry", a.Fault.Wait()))
 	}
+	if elsewhere := q.delegated(); elsewhere != "" {
+		fields = append(fields, zap.String("elsewhere", elsewhere))
+	}
 	if story := q.story(now); story != "" {
 		fields = append(fields, zap.String("targets", story))
 	}
 	line.Write(fields...)
 }
 
+// delegated tells for each data centre how many of the shards that a host there was asked for have come.
+func (q *run) delegated() string {
+	var b strings.Builder
+	for _, g := range q.asked {
+		if b.Len() > 0 {
+			b.WriteString(" ")
+		}
+		came := 0
+		if g.answer != nil {
+			came = len(g.answer.Signatures)
+		}
+		fmt.Fprintf(&b, "%s:%d/%d", g.datacentre, came, len(g.parts))
+	}
+	return b.String()
+}
+
 // maxStory bounds the number of shards that a line tells of.
 const maxStory = 6
 
@@ -110,7 +130,7 @@
 	var b strings.Builder
 	told := 0
 	for _, p := range q.parts {
-		if p.reply != nil && len(p.asked) < 2 {
+		if p.elsewhere || (p.reply != nil && len(p.asked) < 2) {
 			continue
 		}
 		if told++; told > maxStory {
--- a/relay/run.go
+++ b/relay/run.go
@@ -54,6 +54,8 @@
 	groups chan *group
 	merged []*Answer
 	asking int
+	// asked are the groups that other hosts were asked for; taken ones hold their answers.
+	asked  []*group
 	work   context.Context
 	cancel context.CancelFunc
 	// admitted says that there was room for the request.
