soak: a host is started once, also where two harms end it at the same time

Two harms that saw the same process ended both started it; the first of the two was forgotten and left running after the test (11 such processes were found and ended by their ids).

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -44,6 +44,7 @@
 	log      string
 	callers  netip.AddrPort
 	ready    netip.AddrPort
+	starting sync.Mutex
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	ended    chan struct{}
@@ -246,7 +247,13 @@
 	w.t.Cleanup(func() { h.kill() })
 }
 
+// start starts a host's process, unless another harm has done so meanwhile.
 func (w *world) start(h *host) {
+	h.starting.Lock()
+	defer h.starting.Unlock()
+	if h.runs() {
+		return
+	}
 	out, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(w.t, err)
 	cmd := exec.Command(w.program, "front", "--settings", h.file)
@@ -266,6 +273,20 @@
 	}()
 }
 
+func (h *host) runs() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended == nil {
+		return false
+	}
+	select {
+	case <-h.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal to the process that was started here, if it still runs.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
