--- a/coord/coord.go
+++ b/coord/coord.go
@@ -172,8 +172,8 @@
 	greetedAll = 1
 )
 
-// Next returns the hosts that follow this one in its data centre and among all, in an order that all hosts agree on, so that each host has a few that look after it.
-func (c *Coord) Next() []Member {
+// Neighbours returns the hosts that follow this one in its data centre and among all, in an order that all hosts agree on, so that each host has a few that look after it.
+func (c *Coord) Neighbours() []Member {
 	weight := func(m Member) uint64 { return xxhash.Sum64String(m.Name) }
 	all := slices.DeleteFunc(slices.Clone(c.Members()), func(m Member) bool { return m.Name == c.Self.Name })
 	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(weight(a)-weight(c.Self), weight(b)-weight(c.Self)) })
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -340,7 +340,7 @@
 	for _, m := range all {
 		c := New(timer.New(), Parts{Self: m}, zap.NewNop(), tally.NoopScope)
 		c.SetMembers(all)
-		next := c.Next()
+		next := c.Neighbours()
 		require.LessOrEqual(t, len(next), greetedNear+greetedAll)
 		for _, to := range next {
 			require.NotEqual(t, m.Name, to.Name)
--- a/front/fleet.go
+++ b/front/fleet.go
@@ -79,7 +79,7 @@
 		if f.clock.Sleep(ctx, greetPeriod) != nil {
 			return nil
 		}
-		next := f.coord.Next()
+		next := f.coord.Neighbours()
 		if len(next) == 0 || !f.follow.Ready() {
 			continue
 		}
--- a/front/front.go
+++ b/front/front.go
@@ -175,7 +175,11 @@
 
 // handle answers a caller; right after a start it waits for what the answer needs, which is sooner than the caller could come back.
 func (f *Front) handle(ctx context.Context, r *relay.Request) *relay.Answer {
+	began := f.clock.Now()
 	f.follow.AwaitReady(ctx)
+	if r.Left > 0 {
+		r.Left = max(r.Left-f.clock.Since(began), time.Millisecond)
+	}
 	return f.coord.Handle(ctx, r)
 }
 
--- /dev/null
+++ b/relay/choose.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"kingcupcross/roster"
+)
+
+// choose returns the target that is expected to answer first, or nil where none may be asked any more.
+func (q *run) choose(p *part, now time.Time) *roster.Entry {
+	if p.reached >= max(q.route.Attempts, 1) || len(p.asked) >= max(q.route.Attempts, 1)+dialTries {
+		return nil
+	}
+	e := q.engine
+	conns := e.conns(q.config.Services[p.service])
+	p.full = false
+	return q.fastest(p, now, func(t *roster.Entry) bool {
+		if slices.Contains(p.asked, t.ID) {
+			return false
+		}
+		full := e.rank(t).Under() >= conns
+		p.full = p.full || full
+		return !full
+	})
+}
+
+// repeated returns the target that a part may be asked again of, or nil.
+func (q *run) repeated(p *part, now time.Time) *roster.Entry {
+	if len(p.flights) >= max(q.route.Attempts, 1)+repeats {
+		return nil
+	}
+	return q.fastest(p, now, func(t *roster.Entry) bool { return slices.Contains(p.asked, t.ID) })
+}
+
+// fastest returns the target of a part that is expected to answer first of those that may be asked, or nil.
+func (q *run) fastest(p *part, now time.Time, may func(*roster.Entry) bool) *roster.Entry {
+	e := q.engine
+	service := q.config.Services[p.service]
+	var best *roster.Entry
+	var least time.Duration
+	for _, t := range q.view.Services[p.service] {
+		if !q.route.Allows(t.Region) || e.beliefs.Out(t.Datacentre) || !e.cold.open(t, service, now) || !may(t) {
+			continue
+		}
+		if estimate := e.rank(t).Estimate(now, t.Slots); best == nil || estimate < least {
+			best, least = t, estimate
+		}
+	}
+	return best
+}
+
+// lastHedge returns the latest time at which another target of a part can still be asked to answer by the objective, or a time after it where that is too soon to tell anything.
+func (q *run) lastHedge(p *part, first *roster.Entry, now time.Time) time.Time {
+	if len(p.flights) > 0 {
+		return q.end
+	}
+	other := q.fastest(p, now, func(t *roster.Entry) bool { return t != first })
+	if other == nil {
+		return q.end
+	}
+	last := q.aim.Add(-q.engine.rank(other).Estimate(now, other.Slots) - hedgeMargin)
+	if last.Sub(now) < q.engine.rank(first).Usual() {
+		return q.end
+	}
+	return last
+}
--- a/relay/group.go
+++ b/relay/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 
 	"go.uber.org/zap"
 
@@ -88,7 +89,8 @@
 		q.lost += len(g.parts) - len(g.answer.Signatures)
 		q.merged = append(q.merged, g.answer)
 		return
-	case unsent || (g.err == nil && g.answer.Aside):
+	case unsent || (g.err == nil && (g.answer.Aside || g.answer.Status == http.StatusServiceUnavailable)):
+		// A refusal with this status says that nothing has run: too few targets answer there.
 		e.scope.Counter("groups_back").Inc(1)
 		now := e.clock.Now()
 		for _, p := range g.parts {
--- a/relay/group_test.go
+++ b/relay/group_test.go
@@ -84,6 +84,11 @@
 			help:  func(*Request) (*Answer, error) { return &Answer{Aside: true}, nil },
 			sends: 20,
 		},
+		{
+			name:  "too few targets answer it",
+			help:  func(*Request) (*Answer, error) { return &Answer{Status: http.StatusServiceUnavailable}, nil },
+			sends: 20,
+		},
 		{
 			name:  "it is lost after it was asked",
 			help:  func(*Request) (*Answer, error) { return nil, &pool.Error{Sent: true, Err: errors.New("reset")} },
--- a/relay/run.go
+++ b/relay/run.go
@@ -389,31 +389,6 @@
 	return n
 }
 
-// repeated returns the target that a part may be asked again of, or nil.
-func (q *run) repeated(p *part, now time.Time) *roster.Entry {
-	if len(p.flights) >= max(q.route.Attempts, 1)+repeats {
-		return nil
-	}
-	return q.fastest(p, now, func(t *roster.Entry) bool { return slices.Contains(p.asked, t.ID) })
-}
-
-// fastest returns the target of a part that is expected to answer first of those that may be asked, or nil.
-func (q *run) fastest(p *part, now time.Time, may func(*roster.Entry) bool) *roster.Entry {
-	e := q.engine
-	service := q.config.Services[p.service]
-	var best *roster.Entry
-	var least time.Duration
-	for _, t := range q.view.Services[p.service] {
-		if !q.route.Allows(t.Region) || e.beliefs.Out(t.Datacentre) || !e.cold.open(t, service, now) || !may(t) {
-			continue
-		}
-		if estimate := e.rank(t).Estimate(now, t.Slots); best == nil || estimate < least {
-			best, least = t, estimate
-		}
-	}
-	return best
-}
-
 // repeat asks a target again whose time has come.
 func (q *run) repeat(p *part, now time.Time) {
 	p.retryAt = time.Time{}
@@ -499,46 +474,12 @@
 	q.launch(p, to, now)
 }
 
-// choose returns the target that is expected to answer first, or nil where none may be asked any more.
-func (q *run) choose(p *part, now time.Time) *roster.Entry {
-	if p.reached >= max(q.route.Attempts, 1) || len(p.asked) >= max(q.route.Attempts, 1)+dialTries {
-		return nil
-	}
-	e := q.engine
-	conns := e.conns(q.config.Services[p.service])
-	p.full = false
-	return q.fastest(p, now, func(t *roster.Entry) bool {
-		if slices.Contains(p.asked, t.ID) {
-			return false
-		}
-		full := e.rank(t).Under() >= conns
-		p.full = p.full || full
-		return !full
-	})
-}
-
 // begin sends the first sub-request of a part.
 func (q *run) begin(p *part, to *roster.Entry, now time.Time) {
 	q.engine.budgets.earn(p.service)
 	q.launch(p, to, now)
 }
 
-// lastHedge returns the latest time at which another target of a part can still be asked to answer by the objective, or a time after it where that is too soon to tell anything.
-func (q *run) lastHedge(p *part, first *roster.Entry, now time.Time) time.Time {
-	if len(p.flights) > 0 {
-		return q.end
-	}
-	other := q.fastest(p, now, func(t *roster.Entry) bool { return t != first })
-	if other == nil {
-		return q.end
-	}
-	last := q.aim.Add(-q.engine.rank(other).Estimate(now, other.Slots) - hedgeMargin)
-	if last.Sub(now) < q.engine.rank(first).Usual() {
-		return q.end
-	}
-	return last
-}
-
 // launch sends a sub-request.
 func (q *run) launch(p *part, to *roster.Entry, now time.Time) {
 	e := q.engine
@@ -594,56 +535,3 @@
 		return rank.Answered
 	}
 }
-
-// mayHaveRun reports whether something of the request has run or may still run.
-func (q *run) mayHaveRun() bool {
-	if q.asking > 0 {
-		return true
-	}
-	for _, p := range q.parts {
-		if p.open() > 0 {
-			return true
-		}
-	}
-	return q.ran
-}
-
-func fail(f *fault.Error) *Answer {
-	return &Answer{Fault: f}
-}
-
-// failure returns what is said where no target can answer any more.
-func (q *run) failure() *Answer {
-	if !q.route.Fanout() && q.failed != nil && q.failed.Status >= 300 {
-		return single(q.failed)
-	}
-	f := fault.New(fault.Failed, "%d of %d shards can't be had, %d are needed; last: %s", q.lost, len(q.parts), q.needed, q.cause)
-	if !q.mayHaveRun() {
-		f = fault.New(fault.Overload, "no target took the request; last: %s", q.cause)
-	}
-	return fail(f)
-}
-
-func single(r *Reply) *Answer {
-	return &Answer{Status: r.Status, Header: r.Header, Body: r.Body, Signature: r.Signature}
-}
-
-func (q *run) success() *Answer {
-	if !q.route.Fanout() {
-		return single(q.parts[0].reply)
-	}
-	a := &Answer{Status: 200, Merged: true, Missing: len(q.parts) - q.done}
-	bodies := make([][]byte, 0, q.done)
-	for _, p := range q.parts {
-		if p.reply != nil {
-			a.Signatures = append(a.Signatures, p.reply.Signature)
-			bodies = append(bodies, p.reply.Body)
-		}
-	}
-	for _, m := range q.merged {
-		a.Signatures = append(a.Signatures, m.Signatures...)
-		bodies = append(bodies, m.Body)
-	}
-	a.Body = greatest(bodies, q.route.Top)
-	return a
-}
--- a/soak/guards_test.go
+++ b/soak/guards_test.go
@@ -27,14 +27,14 @@
 	},
 	{
 		name:    "not run is said only of what has not",
-		file:    "relay/run.go",
+		file:    "relay/outcome.go",
 		from:    "if !q.mayHaveRun() {",
 		to:      "if true {",
 		promise: "and has run",
 	},
 	{
 		name:    "coverage is stated",
-		file:    "relay/run.go",
+		file:    "relay/outcome.go",
 		from:    "Missing: len(q.parts) - q.done",
 		to:      "Missing: 0",
 		promise: "parts and states",
