--- a/follow/follow.go
+++ b/follow/follow.go
@@ -213,7 +213,8 @@
 			continue
 		}
 		now := f.clock.Now()
-		exact := f.needsExact(now) && now.Sub(exactAt) >= f.exactPeriod(now)
+		// Readings that follow each other soon needn't be exact each time.
+		exact := f.needsExact(now) && now.Sub(exactAt) >= targetsPeriod
 		if exact {
 			exactAt = now
 		}
@@ -265,14 +266,6 @@
 	return now.Sub(f.began) < returnLimit || now.Sub(f.returned()) < returnLimit
 }
 
-// exactPeriod is the least time between two exact readings: after an outage targets write their entries anew, which readings that lag show late; at a start of all hosts nothing is urgent yet.
-func (f *Follower) exactPeriod(now time.Time) time.Duration {
-	if now.Sub(f.returned()) < returnLimit {
-		return returnPeriod
-	}
-	return targetsPeriod
-}
-
 // lagLimit is the time by which a reading of the targets may lag behind the operator's part before one is made that doesn't lag.
 const lagLimit = 1500 * time.Millisecond
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -220,33 +220,6 @@
 	})
 }
 
-// TestNewShardsAfterAnOutage have targets that could write their entries only after it: these are known soon, although lagging readings don't show them yet.
-func TestNewShardsAfterAnOutage(t *testing.T) {
-	withFollower(t, func(f *Follower, s *shelf) {
-		time.Sleep(10 * time.Second)
-		s.set(func() { s.down = true })
-		time.Sleep(3 * time.Second)
-		c, err := route.New(route.Config{Version: 2, Routes: []route.Route{{
-			Prefix:  "/",
-			Timeout: time.Second,
-			Top:     1,
-			Shards:  []string{"new"},
-		}}})
-		require.NoError(t, err)
-		old := s.page
-		s.set(func() { s.down, s.lagging = false, &old })
-		s.change(route.Operator{Config: c, Revision: 8})
-		time.Sleep(retryPeriod + 100*time.Millisecond)
-		require.EqualValues(t, 2, f.Config().Version)
-		require.Empty(t, f.View().Services["new"])
-		s.set(func() {
-			s.page = roster.Page{Revision: 9, Targets: []roster.Target{{ID: "n", Service: "new", Revision: 9}}}
-		})
-		time.Sleep(returnPeriod + time.Millisecond)
-		require.Len(t, f.View().Services["new"], 1)
-	})
-}
-
 // TestDeafWatch misses a change whose history is dropped, and still has it in force in time.
 func TestDeafWatch(t *testing.T) {
 	withFollower(t, func(f *Follower, s *shelf) {
