relay: one way to forget, one cap of the budget, no second choice where it isn't used

Found on reading the change: four loops that forget what is no longer known, the cap of what a budget holds stated twice, and the latest time of a hedge worked out for requests to one service, which don't use it. Behaviour is as it was.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -85,11 +86,7 @@
 func (l *load) keep(known func(string) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for g := range l.pace {
-		if !known(g) {
-			delete(l.pace, g)
-		}
-	}
+	maps.DeleteFunc(l.pace, func(g string, _ float64) bool { return !known(g) })
 }
 
 // groupOf names the services that share their room: all shards of an index, or one service.
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -22,7 +23,7 @@
 //
 // The bound holds for the sum over all hosts: what a host earns with its own requests adds up to the share, and the slack is divided.
 type budgets struct {
-	// share is earned with each request; most is the bound of what can be kept.
+	// share is earned with each request.
 	share float64
 	// slack is this host's part of what may be spent in a window beyond the share.
 	slack func() float64
@@ -38,6 +39,11 @@
 	at   time.Time
 }
 
+// add gives some back, up to what can be spent at once.
+func (k *tokens) add(n, slack float64) {
+	k.left = min(k.left+n, max(burstShare*slack, 1))
+}
+
 func newBudgets(clock *timer.Service, share float64, slack func() float64) *budgets {
 	return &budgets{clock: clock, share: share * earnShare, slack: slack, tokens: map[string]*tokens{}}
 }
@@ -50,7 +56,7 @@
 		b.tokens[service] = k
 	}
 	back := (1 - burstShare) * slack * now.Sub(k.at).Seconds() / budgetWindow.Seconds()
-	k.left = min(k.left+back, max(burstShare*slack, 1))
+	k.add(back, slack)
 	k.at = now
 	return k
 }
@@ -61,8 +67,7 @@
 	defer b.mu.Unlock()
 	slack, now := b.slack(), b.clock.Now()
 	for _, s := range services {
-		k := b.of(s, slack, now)
-		k.left = min(k.left+b.share, max(burstShare*slack, 1))
+		b.of(s, slack, now).add(b.share, slack)
 	}
 }
 
@@ -94,9 +99,5 @@
 func (b *budgets) keep(known func(string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for s := range b.tokens {
-		if !known(s) {
-			delete(b.tokens, s)
-		}
-	}
+	maps.DeleteFunc(b.tokens, func(s string, _ *tokens) bool { return !known(s) })
 }
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -64,9 +65,5 @@
 func (g *coldGate) keep(known func(string) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for id := range g.sent {
-		if !known(id) {
-			delete(g.sent, id)
-		}
-	}
+	maps.DeleteFunc(g.sent, func(id string, _ []time.Time) bool { return !known(id) })
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -492,8 +492,10 @@
 		sent:  now,
 		check: now.Add(r.Overdue(now)),
 	}
-	if last := q.lastHedge(p, to, now); q.route.Fanout() && last.Before(f.check) {
-		f.check = last
+	if q.route.Fanout() {
+		if last := q.lastHedge(p, to, now); last.Before(f.check) {
+			f.check = last
+		}
 	}
 	if !slices.Contains(p.asked, to.ID) {
 		p.asked = append(p.asked, to.ID)
--- a/relay/silent.go
+++ b/relay/silent.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -40,11 +41,7 @@
 func (p *probes) keep(known func(string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for g := range p.last {
-		if !known(g) {
-			delete(p.last, g)
-		}
-	}
+	maps.DeleteFunc(p.last, func(g string, _ time.Time) bool { return !known(g) })
 }
 
 // Blocked tells when a request could not be served since too few of its targets answer.
