follow, relay: tell whether targets are behind the store, and which sub-requests go to a target that leaves

New: the line "targets are behind the store" and its end, the gauge follow_targets_behind_seconds, roster_revision in a request's line, the line "sub-request goes to a target that leaves" and the counter relay_leaving_sends. No decision changes.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -64,6 +64,8 @@
 	operatorSet atomic.Int64
 	// fed is the time until which another host's views stand for the store's.
 	fed atomic.Int64
+	// behind tells whether the targets show all that the store is known to hold.
+	behind behind
 	// operatorPacks, targetsPacks and past are what other hosts are told from.
 	operatorPacks, targetsPacks packs
 	past                        past
@@ -146,7 +148,9 @@
 			continue
 		}
 		f.regained("operator")
-		f.operatorRead.Store(f.stamp(f.clock.Now()))
+		now := f.clock.Now()
+		f.operatorRead.Store(f.stamp(now))
+		f.behind.heard(o.Revision, now)
 		f.takeOperator(o)
 		f.awaitChange(ctx, o.Revision)
 	}
@@ -168,7 +172,9 @@
 		case changed:
 			return
 		}
-		f.operatorRead.Store(f.stamp(f.clock.Now()))
+		now := f.clock.Now()
+		f.operatorRead.Store(f.stamp(now))
+		f.behind.heard(next, now)
 		after = next
 	}
 }
@@ -233,6 +239,7 @@
 			f.regained("targets")
 		}
 		f.takeTargets(p, now)
+		f.sayBehind(now)
 		f.awaitTargets(ctx)
 	}
 	return nil
@@ -317,6 +324,25 @@
 	})
 }
 
+// sayBehind logs that readings have been behind the store for a while, and that they no longer are.
+func (f *Follower) sayBehind(now time.Time) {
+	lag, news := f.behind.shows(f.View().Revision, now)
+	if !news {
+		return
+	}
+	store, shown := f.behind.revisions()
+	message := "targets have caught up with the store"
+	if shown < store {
+		message = "targets are behind the store"
+	}
+	f.log.Info(message, zap.Uint64("revision", shown), zap.Uint64("store", store), zap.Int64("behind_ms", lag.Milliseconds()))
+}
+
+// Lag returns the time for which the targets have been known to be behind the store.
+func (f *Follower) Lag() time.Duration {
+	return f.behind.lag(f.clock.Now())
+}
+
 // say logs what a reading changes.
 func (f *Follower) say(old, next *roster.View) {
 	for id, e := range next.Entries {
--- a/front/front.go
+++ b/front/front.go
@@ -292,6 +292,7 @@
 	operator, targets := f.follow.Ages()
 	scope.Gauge("operator_age_seconds").Update(operator.Seconds())
 	scope.Gauge("targets_age_seconds").Update(targets.Seconds())
+	scope.Gauge("targets_behind_seconds").Update(f.follow.Lag().Seconds())
 	f.meter.Scope.SubScope("relay").Gauge("limits_share").Update(f.coord.Share())
 }
 
--- a/relay/report.go
+++ b/relay/report.go
@@ -68,6 +68,17 @@
 	e.write(q, a, outcome, now)
 }
 
+// noteLeaving counts and logs a sub-request to a target that this host knows to be draining or gone.
+func (q *run) noteLeaving(f *flight) {
+	e := q.engine
+	view := e.beliefs.View()
+	if known := view.Entries[f.to.ID]; known != nil && !known.Draining {
+		return
+	}
+	e.scope.Counter("leaving_sends").Inc(1)
+	e.log.Info("sub-request goes to a target that leaves", zap.String("request", q.request.ID), zap.String("target", f.to.ID), zap.Int64("ms", f.sent.Sub(q.start).Milliseconds()), zap.Uint64("chosen_from", q.view.Revision), zap.Uint64("roster_revision", view.Revision))
+}
+
 func (e *Engine) write(q *run, a *Answer, outcome string, now time.Time) {
 	line := e.log.Check(zapcore.InfoLevel, "request answered")
 	if line == nil {
@@ -81,6 +92,7 @@
 		zap.Int64("aim", q.route.Aim.Milliseconds()),
 		zap.Uint64("config", q.config.Version),
 		zap.Int64("roster_age_ms", q.start.Sub(q.view.Read).Milliseconds()),
+		zap.Uint64("roster_revision", q.view.Revision),
 		zap.Int("shards", len(q.parts)),
 		zap.Int("answered", q.done),
 		zap.Int("needed", q.needed),
--- a/relay/run.go
+++ b/relay/run.go
@@ -500,6 +500,7 @@
 	if !slices.Contains(p.asked, to.ID) {
 		p.asked = append(p.asked, to.ID)
 	}
+	q.noteLeaving(f)
 	p.reached++
 	p.flights = append(p.flights, f)
 	e.load.add(groupOf(q.route, p), 1)
