--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -128,7 +128,12 @@
 	case <-changed:
 		return after + 1, true, nil
 	case <-time.After(wait):
-		return after, false, nil
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if deaf {
+			return after, false, nil
+		}
+		return max(after, s.page.Revision), false, nil
 	case <-ctx.Done():
 		return after, false, ctx.Err()
 	}
@@ -304,6 +309,31 @@
 	})
 }
 
+// TestTargetLeavesWhileReadingsLag guards against requests to a target whose leaving no lagging reading shows: it must be known within the 3 s after which the target gets no more work.
+func TestTargetLeavesWhileReadingsLag(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		left []roster.Target
+	}{
+		{name: "draining", left: []roster.Target{{ID: "a", Service: "s", Revision: 9, Draining: true}}},
+		{name: "gone", left: nil},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			withFollower(t, func(f *Follower, s *shelf) {
+				time.Sleep(time.Second)
+				require.Len(t, f.View().Services["s"], 1)
+				old := s.page
+				s.set(func() {
+					s.lagging = &old
+					s.page = roster.Page{Revision: 9, Targets: one.left}
+				})
+				time.Sleep(3 * time.Second)
+				require.Empty(t, f.View().Services["s"])
+			})
+		})
+	}
+}
+
 // TestFeed has a host live by another's views, and read the store at once when they end.
 func TestFeed(t *testing.T) {
 	withFollower(t, func(source *Follower, s *shelf) {
--- a/mock/store.go
+++ b/mock/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -55,6 +56,14 @@
 	leases   map[uint64]*lease
 	next     uint64
 	changed  chan struct{}
+	// held is what readings that may lag return, nil while they are up to date.
+	held *held
+}
+
+// held is the state of a store at a moment.
+type held struct {
+	rows     map[string]row
+	revision uint64
 }
 
 // NewStore returns an empty store.
@@ -99,6 +108,20 @@
 	s.history, s.dropped = nil, s.revision
 }
 
+// Hold has readings that may lag return the present state until Release.
+func (s *Store) Hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = &held{rows: maps.Clone(s.rows), revision: s.revision}
+}
+
+// Release ends Hold.
+func (s *Store) Release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = nil
+}
+
 // write makes a change; the lock is held.
 func (s *Store) write(r row) {
 	s.revision++
@@ -168,7 +191,7 @@
 	query := r.URL.Query()
 	switch path := r.URL.Path; {
 	case path == "/api/kv-range":
-		return s.list(query.Get("prefix"), query.Get("after"))
+		return s.list(query.Get("prefix"), query.Get("after"), query.Get("allowStale") == "1")
 	case path == "/api/kv-watch":
 		after, errAfter := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, errWait := strconv.Atoi(query.Get("waitMs"))
@@ -189,11 +212,15 @@
 // pageSize is the number of items of a page.
 const pageSize = 50
 
-func (s *Store) list(prefix, after string) (int, any) {
+func (s *Store) list(prefix, after string, stale bool) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	rows, revision := s.rows, s.revision
+	if stale && s.held != nil {
+		rows, revision = s.held.rows, s.held.revision
+	}
 	keys := []string{}
-	for key := range s.rows {
+	for key := range rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			keys = append(keys, key)
 		}
@@ -202,9 +229,9 @@
 	more := len(keys) > pageSize
 	items := []row{}
 	for _, key := range keys[:min(len(keys), pageSize)] {
-		items = append(items, s.rows[key])
+		items = append(items, rows[key])
 	}
-	return http.StatusOK, map[string]any{"items": items, "hasMore": more, "storeRevision": s.revision}
+	return http.StatusOK, map[string]any{"items": items, "hasMore": more, "storeRevision": revision}
 }
 
 func (s *Store) watch(r *http.Request, prefix string, after uint64, wait time.Duration) (int, any) {
