follow: changes of targets come from calls that wait for them, held to the store's revision

Cause: hosts read the targets once a second with readings that may lag and took them for a second old at most. That a reading was old was noticed only after a change by the operator (lagLimit). The class: freshness taken from when an answer arrives, not from what it proves.

Change: one reading, then calls that bring all changes since the last one, so the age of the reading no longer matters. The revision in each answer about the operator's keys shows within half the bound whether a change was missed; then the targets are asked for at once. ErrCompacted, a cut call and a call that hears nothing lead to an exact reading. Ages count from the time up to which a view is known to show all changes. Any call that shows that the store was away starts the time in which lapsed entries are kept. Polling for missing targets and readings after a change of the operator (needsExact) go, as each change comes by itself; their tests stay, with the constants' values written out.

Ruled out: exact readings once a second (a call each 500 entries, 13 a second at the size of the aim); short waits (a call each 1.5 s more on each host that reads).

TestStaleSource compares with the one limit for the age of another host's views, 2 s, which replaces 2 s and 2.5 s.

--- a/follow/behind.go
+++ b/follow/behind.go
@@ -21,14 +21,15 @@
 	told bool
 }
 
-// heard notes a revision that the store has.
-func (b *behind) heard(revision uint64, now time.Time) {
+// heard notes a revision that the store has and reports whether the targets are behind it.
+func (b *behind) heard(revision uint64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.store = max(b.store, revision)
 	if b.store > b.shown && b.since.IsZero() {
 		b.since = now
 	}
+	return !b.since.IsZero()
 }
 
 // shows notes the revision that the targets are from; lag is the time for which they have been behind, and news says that it is worth a line.
@@ -49,6 +50,13 @@
 	return lag, news
 }
 
+// is reports whether the targets are known to be behind the store.
+func (b *behind) is() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.since.IsZero()
+}
+
 // lag returns the time for which the targets have been known to be behind the store.
 func (b *behind) lag(now time.Time) time.Duration {
 	b.mu.Lock()
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -18,10 +18,8 @@
 	feedWait = time.Second
 	// feedGrace is added to that for the way.
 	feedGrace = 400 * time.Millisecond
-	// freshTargets is the age of another host's targets up to which they stand for the store's own.
-	freshTargets = 2 * time.Second
-	// watchSlack is the age of the operator's part beyond the time that a watch waits.
-	watchSlack = 700 * time.Millisecond
+	// watchSlack is the age of views beyond the time that a call for the operator's changes waits, up to which they stand for the store's own.
+	watchSlack = 500 * time.Millisecond
 )
 
 // Views is the name of the calls between hosts.
@@ -41,10 +39,20 @@
 	Targets  Packed
 	Changes  *roster.Changes
 	Members  []coord.Member
-	// OperatorAge and TargetsAge are the times since the store was last heard of.
+	// OperatorAge and TargetsAge are the times since the views were last known to show all changes.
 	OperatorAge, TargetsAge time.Duration
 }
 
+// age returns the age of the older part.
+func (s *State) age() time.Duration {
+	return max(s.OperatorAge, s.TargetsAge)
+}
+
+// fresh returns the age up to which views of a host that follows the store are expected to be.
+func (f *Follower) fresh() time.Duration {
+	return f.watch + watchSlack
+}
+
 // Feed is what a host needs to be fed by others.
 type Feed struct {
 	// Sources returns the hosts to read from, the best first; none means that this host reads the store.
@@ -88,7 +96,7 @@
 			f.log.Info("views of a host can't be had", zap.String("from", m.Name), zap.Error(err))
 			continue
 		}
-		if s.OperatorAge > f.watch+watchSlack || s.TargetsAge > freshTargets {
+		if s.age() > f.fresh() {
 			f.scope.Counter("feed_stale").Inc(1)
 			continue
 		}
@@ -231,7 +239,7 @@
 	}
 }
 
-// Ages returns the times since the operator's part and the targets were last heard of from the store.
+// Ages returns the times since the operator's part and the targets were last known to show all changes.
 func (f *Follower) Ages() (operator, targets time.Duration) {
 	now := f.stamp(f.clock.Now())
 	return time.Duration(now - f.operatorRead.Load()), time.Duration(now - f.targetsRead.Load())
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,13 +17,15 @@
 )
 
 const (
-	// targetsPeriod is the time between two readings of the targets: with the lag of such a reading, of about a second, it stays within the 3 s in which a leaving target must get no more work.
-	targetsPeriod = time.Second
-	// watchShare is the part of the time within which a change is to be in force that one call waits for it: a call that hears nothing, although there was a change, is followed by one that does.
-	watchShare = 0.6
-	// returnPeriod is the time between two readings while targets are missing that may come back any moment, and returnLimit the time after a start or an outage in which they do: entries that lapsed are back within about two seconds.
-	returnPeriod = 250 * time.Millisecond
-	returnLimit  = 4 * time.Second
+	// watchShare is the part of the shortest bound on news within which one call waits for a change by the operator: a call that hears nothing, although there was a change, is followed by one that does.
+	watchShare = 0.5
+	// targetsWait is the longest time that one call waits for changes of targets; whether it has missed one shows in the answers to the calls that wait for the operator.
+	targetsWait = 10 * time.Second
+	// leastSettle is the time between the answer to a call that brought changes of targets and the next call; it doubles up to mostSettle while changes follow each other, as cold targets make them.
+	leastSettle = 100 * time.Millisecond
+	mostSettle  = time.Second
+	// missedAfter is the time for which the store may be known to have changes that no call has brought before one asks for them.
+	missedAfter = 800 * time.Millisecond
 	// startLimit is the time after a start within which a store that is well has given configuration and targets, also to a host with a fifth of a core.
 	startLimit = 300 * time.Millisecond
 	// retryPeriod is the time between two tries while the store gives no answer.
@@ -34,8 +36,10 @@
 type Store struct {
 	Operator      func(context.Context) (route.Operator, error)
 	AwaitOperator func(ctx context.Context, after uint64, wait time.Duration) (revision uint64, changed bool, err error)
-	// Targets reads the targets; unless it is to be exact, the reading may lag by seconds.
+	// Targets reads the targets; unless it is to be exact, the reading may be old by any time.
 	Targets func(ctx context.Context, exact bool) (roster.Page, error)
+	// AwaitTargets waits up to wait for changes of targets after a revision.
+	AwaitTargets func(ctx context.Context, after uint64, wait time.Duration) (roster.Update, error)
 }
 
 // Follower keeps the views.
@@ -52,16 +56,18 @@
 
 	// away says that the store gave no answer lately.
 	away atomic.Bool
-	// targetsLost says that the last reading of the targets failed; only their loop uses it.
-	targetsLost bool
-	// targetsBack is the time since which the targets are read again after an outage, zero before the first.
-	targetsBack atomic.Int64
+	// targetsAt is the time of the last reading of the targets; only their loop uses it.
+	targetsAt time.Time
+	// settle is the time until the next call for changes of targets after one that brought some.
+	settle time.Duration
+	// back is the time since which the store answers again after an outage, zero before the first.
+	back atomic.Int64
 	// began is the time that the next fields count from, in nanoseconds, so that no step of the time of day moves them.
 	began time.Time
-	// operatorRead and targetsRead are the times of the last answers of the store, or of another host less the age that it stated.
+	// operatorRead and targetsRead are the times up to which the views are known to show all changes.
 	operatorRead, targetsRead atomic.Int64
-	// operatorSet is the time at which the operator's part last changed.
-	operatorSet atomic.Int64
+	// missed is told when the store is known to have changes that the targets don't show.
+	missed chan struct{}
 	// fed is the time until which another host's views stand for the store's.
 	fed atomic.Int64
 	// behind tells whether the targets show all that the store is known to hold.
@@ -76,18 +82,23 @@
 // ErrCompacted says that the store has dropped the history after a revision.
 var ErrCompacted = errors.New("the store has dropped the history after this revision")
 
-// New returns a follower of a store that has a change of the configuration in force within apply.
-func New(clock *timer.Service, store Store, apply time.Duration, log *zap.Logger, scope tally.Scope) *Follower {
+// errMissed ends a call that waits for changes of targets although there are some.
+var errMissed = errors.New("the store has changes that this call hasn't brought")
+
+// New returns a follower of a store that knows each change within news.
+func New(clock *timer.Service, store Store, news time.Duration, log *zap.Logger, scope tally.Scope) *Follower {
 	return &Follower{
 		clock:    clock,
 		store:    store,
-		watch:    time.Duration(watchShare * float64(apply)),
+		watch:    time.Duration(watchShare * float64(news)),
 		log:      log,
 		scope:    scope,
 		began:    clock.Now(),
 		operator: board.NewCell(&route.Operator{}),
 		view:     board.NewCell(roster.Empty()),
 		greeted:  make(chan coord.Member, 1),
+		missed:   make(chan struct{}, 1),
+		settle:   leastSettle,
 	}
 }
 
@@ -141,6 +152,7 @@
 			f.pause(ctx)
 			continue
 		}
+		sent := f.clock.Now()
 		o, err := f.store.Operator(ctx)
 		if err != nil {
 			f.lost("operator", err)
@@ -148,9 +160,7 @@
 			continue
 		}
 		f.regained("operator")
-		now := f.clock.Now()
-		f.operatorRead.Store(f.stamp(now))
-		f.behind.heard(o.Revision, now)
+		f.heard(o.Revision, sent)
 		f.takeOperator(o)
 		f.awaitChange(ctx, o.Revision)
 	}
@@ -172,13 +182,38 @@
 		case changed:
 			return
 		}
-		now := f.clock.Now()
-		f.operatorRead.Store(f.stamp(now))
-		f.behind.heard(next, now)
+		// The answer to a call that waits holds for the time at which it is made.
+		f.heard(next, f.clock.Now())
 		after = next
 	}
 }
 
+// heard notes that the store had a revision at a time, up to which the operator's part is known.
+func (f *Follower) heard(revision uint64, at time.Time) {
+	later(&f.operatorRead, f.stamp(at))
+	if !f.behind.heard(revision, f.clock.Now()) {
+		later(&f.targetsRead, f.stamp(at))
+		return
+	}
+	wait := missedAfter
+	if f.clock.Since(f.returned()) < missedAfter {
+		// Right after an outage a call that waits is likely to have been lost.
+		wait = 0
+	}
+	f.clock.AfterFunc(wait, f.tellMissed)
+}
+
+// tellMissed has the targets asked for if they are behind the store.
+func (f *Follower) tellMissed() {
+	if !f.behind.is() {
+		return
+	}
+	select {
+	case f.missed <- struct{}{}:
+	default:
+	}
+}
+
 // takeOperator puts a reading into force, unless it is older than the last; a configuration never goes back.
 func (f *Follower) takeOperator(o route.Operator) {
 	if o.Unreadable != "" {
@@ -205,113 +240,137 @@
 				f.log.Info("data centre is back in service", zap.String("datacentre", d), zap.Uint64("revision", o.Revision))
 			}
 		}
-		f.operatorSet.Store(f.stamp(f.clock.Now()))
 		return &o
 	})
 }
 
 // RunTargets follows the targets until the context ends.
+//
+// A reading may be old, so it is only what changes lead on from: each call after it brings all changes since the last, however old that was.
 func (f *Follower) RunTargets(ctx context.Context) error {
-	var exactAt time.Time
+	following := false
 	for ctx.Err() == nil {
-		if f.Fed() {
-			f.pause(ctx)
-			continue
-		}
-		now := f.clock.Now()
-		// Readings that follow each other soon needn't be exact each time.
-		exact := f.needsExact(now) && now.Sub(exactAt) >= targetsPeriod
-		if exact {
-			exactAt = now
-		}
-		p, err := f.store.Targets(ctx, exact)
-		if err != nil {
-			f.targetsLost = true
-			f.lost("targets", err)
+		switch {
+		case f.Fed():
+			following = false
 			f.pause(ctx)
-			continue
-		}
-		now = f.clock.Now()
-		f.targetsRead.Store(f.stamp(now))
-		if f.targetsLost {
-			f.targetsLost = false
-			f.targetsBack.Store(f.stamp(now))
-			f.regained("targets")
+		case following:
+			following = f.awaitTargets(ctx)
+		default:
+			following = f.readTargets(ctx)
 		}
-		f.takeTargets(p, now)
-		f.sayBehind(now)
-		f.awaitTargets(ctx)
 	}
 	return nil
 }
 
-// awaitTargets waits until the targets are to be read again: after a while, or at once where a new configuration names a service without targets.
-func (f *Follower) awaitTargets(ctx context.Context) {
-	changed := f.operator.Changed()
-	period := targetsPeriod
-	if now := f.clock.Now(); f.mayReturn(now) && f.needsExact(now) {
-		period = returnPeriod
+// readTargets reads all targets, not more often than each retryPeriod, and reports whether that succeeded.
+//
+// The first reading may lag, so that hosts that start together don't all take from what the store can bear.
+func (f *Follower) readTargets(ctx context.Context) bool {
+	if left := retryPeriod - f.clock.Since(f.targetsAt); left > 0 && f.clock.Sleep(ctx, left) != nil {
+		return false
 	}
-	due := f.clock.After(period)
-	for {
-		select {
-		case <-changed:
-			changed = nil
-			if f.needsExact(f.clock.Now()) {
-				return
-			}
-		case <-due:
-			return
-		case <-ctx.Done():
-			return
-		}
+	sent := f.clock.Now()
+	f.targetsAt = sent
+	exact := !f.View().Read.IsZero()
+	p, err := f.store.Targets(ctx, exact)
+	if err != nil {
+		f.lost("targets", err)
+		return false
 	}
+	f.regained("targets")
+	if exact {
+		later(&f.targetsRead, f.stamp(sent))
+	}
+	f.takeTargets(p, f.clock.Now())
+	return true
 }
 
-// mayReturn reports whether targets that are missing may come back any moment.
-func (f *Follower) mayReturn(now time.Time) bool {
-	return now.Sub(f.began) < returnLimit || now.Sub(f.returned()) < returnLimit
-}
-
-// lagLimit is the time by which a reading of the targets may lag behind the operator's part before one is made that doesn't lag.
-const lagLimit = 1500 * time.Millisecond
-
-// needsExact reports whether readings that lag don't suffice: the configuration names a service without targets, or the last reading is known to be old.
-func (f *Follower) needsExact(now time.Time) bool {
-	o, v := f.operator.Load(), f.View()
-	if o.Config == nil || v.Read.IsZero() {
+// awaitTargets waits for changes and reports whether the next ones lead on from the view.
+func (f *Follower) awaitTargets(ctx context.Context) bool {
+	asked := f.clock.Now()
+	u, err := f.nextUpdate(ctx)
+	missed := errors.Is(err, errMissed)
+	if missed {
+		// A call that doesn't wait brings what there is.
+		u, err = f.store.AwaitTargets(ctx, f.View().Revision, 0)
+	}
+	switch {
+	case errors.Is(err, ErrCompacted):
+		f.log.Info("history of the store is gone, reading targets anew", zap.Uint64("after", f.View().Revision))
+		return false
+	case err != nil:
+		// A call that waits may be cut; whether the store can be reached shows in the reading that follows.
+		f.scope.Counter("targets_cut").Inc(1)
+		f.log.Info("targets are read anew", zap.Uint64("after", f.View().Revision), zap.Error(err))
 		return false
 	}
-	if v.Revision < o.Revision && f.stamp(now)-f.operatorSet.Load() > int64(lagLimit) {
-		return true
+	if operator, _ := f.Ages(); operator > f.fresh() {
+		// The store was silent and this is the first answer since.
+		f.noteReturn()
 	}
-	for _, r := range o.Config.Routes {
-		for _, s := range r.Shards {
-			if len(v.Services[s]) == 0 {
-				return true
-			}
-		}
-		for _, s := range r.Shares {
-			if len(v.Services[s.Service]) == 0 {
-				return true
+	now := f.clock.Now()
+	later(&f.targetsRead, f.stamp(now))
+	f.takeUpdate(u, now)
+	if missed && f.behind.is() {
+		f.log.Info("changes of targets aren't heard of, reading targets anew", zap.Uint64("after", u.Revision))
+		return false
+	}
+	if now.Sub(asked) >= mostSettle {
+		f.settle = leastSettle
+	}
+	if len(u.Changed)+len(u.Gone) > 0 {
+		// The error says that the context has ended, which the caller's loop sees.
+		_ = f.clock.Sleep(ctx, f.settle)
+		f.settle = min(2*f.settle, mostSettle)
+	}
+	return true
+}
+
+// nextUpdate waits for changes of targets; the error is errMissed where the store turns out to have some that the call hasn't brought.
+func (f *Follower) nextUpdate(ctx context.Context) (roster.Update, error) {
+	limited, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		for limited.Err() == nil {
+			select {
+			case <-f.missed:
+				if f.behind.is() {
+					cancel(errMissed)
+				}
+			case <-limited.Done():
 			}
 		}
+	}()
+	u, err := f.store.AwaitTargets(limited, f.View().Revision, targetsWait)
+	if err != nil && errors.Is(context.Cause(limited), errMissed) {
+		err = errMissed
 	}
-	return false
+	return u, err
 }
 
 // returned returns the time at which the store was reached again after an outage, zero where there was none.
 func (f *Follower) returned() time.Time {
-	back := f.targetsBack.Load()
+	back := f.back.Load()
 	if back == 0 {
 		return time.Time{}
 	}
 	return f.began.Add(time.Duration(back))
 }
 
+// takeTargets puts a reading in the place of the view, unless it is older.
 func (f *Follower) takeTargets(p roster.Page, now time.Time) {
+	f.takeView(now, func(*roster.View) roster.Page { return p })
+}
+
+// takeUpdate puts changes into the view, unless it is newer.
+func (f *Follower) takeUpdate(u roster.Update, now time.Time) {
+	f.takeView(now, func(old *roster.View) roster.Page { return old.After(u) })
+}
+
+func (f *Follower) takeView(now time.Time, reading func(*roster.View) roster.Page) {
 	f.view.Update(func(old *roster.View) *roster.View {
-		next := old.Merge(p, now, f.returned())
+		next := old.Merge(reading(old), now, f.returned())
 		if next == nil {
 			f.scope.Counter("older_readings").Inc(1)
 			return nil
@@ -322,6 +381,7 @@
 		}
 		return next
 	})
+	f.sayBehind(now)
 }
 
 // sayBehind logs that readings have been behind the store for a while, and that they no longer are.
@@ -382,5 +442,14 @@
 func (f *Follower) regained(what string) {
 	if f.away.Swap(false) {
 		f.log.Info("store is reached again", zap.String("reading", what))
+		f.noteReturn()
 	}
 }
+
+// noteReturn has targets that are missing from now on kept until they can no longer be expected back.
+func (f *Follower) noteReturn() {
+	f.back.Store(f.stamp(f.clock.Now()))
+	f.clock.AfterFunc(roster.ReturnGrace, func() {
+		f.takeUpdate(roster.Update{Revision: f.View().Revision}, f.clock.Now())
+	})
+}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -24,11 +24,15 @@
 
 // shelf is a store that a test fills; its watches hear of a change unless they are deaf.
 type shelf struct {
-	mu        sync.Mutex
-	operator  route.Operator
-	page      roster.Page
-	down      bool
-	deaf      bool
+	mu       sync.Mutex
+	operator route.Operator
+	page     roster.Page
+	down     bool
+	// operatorDown says that only readings of the operator's part fail.
+	operatorDown bool
+	deaf         bool
+	// mute says that calls that wait for targets hear of no change.
+	mute      bool
 	compacted uint64
 	reads     int
 	// slow is the time that each reading takes.
@@ -36,14 +40,24 @@
 	// lagging is what readings of the targets return that needn't be exact, nil for the page itself.
 	lagging *roster.Page
 	changed chan struct{}
+	// touched holds the revision at which a target's entry last changed or went, from noted to noted page.
+	touched map[string]uint64
+	noted   roster.Page
+	moved   chan struct{}
 }
 
 var errDown = errors.New("store is down")
 
 func newShelf(t *testing.T) *shelf {
-	s := &shelf{changed: make(chan struct{})}
+	s := &shelf{
+		changed: make(chan struct{}),
+		touched: map[string]uint64{},
+		moved:   make(chan struct{}),
+	}
 	s.put(t, 1)
-	s.page = roster.Page{Revision: 1, Targets: []roster.Target{{ID: "a", Service: "s", Revision: 1}}}
+	s.set(func() {
+		s.page = roster.Page{Revision: 1, Targets: []roster.Target{{ID: "a", Service: "s", Revision: 1}}}
+	})
 	return s
 }
 
@@ -69,6 +83,75 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f()
+	s.note()
+}
+
+// note tells those who wait what has changed of the targets; the lock is held.
+func (s *shelf) note() {
+	old := map[string]roster.Target{}
+	for _, t := range s.noted.Targets {
+		old[t.ID] = t
+	}
+	for _, t := range s.page.Targets {
+		if was, known := old[t.ID]; !known || was != t {
+			s.touched[t.ID] = s.page.Revision
+		}
+		delete(old, t.ID)
+	}
+	for id := range old {
+		s.touched[id] = s.page.Revision
+	}
+	s.noted = s.page
+	close(s.moved)
+	s.moved = make(chan struct{})
+}
+
+// awaitTargets waits for changes of targets; a deaf one hears of none.
+func (s *shelf) awaitTargets(ctx context.Context, after uint64, wait time.Duration) (roster.Update, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		u, moved, down, deaf, compacted := s.update(after), s.moved, s.down, s.deaf || s.mute, s.compacted
+		s.mu.Unlock()
+		switch {
+		case down:
+			return u, errDown
+		case after < compacted:
+			return u, ErrCompacted
+		case deaf:
+			u = roster.Update{Revision: after}
+		case len(u.Changed)+len(u.Gone) > 0:
+			return u, nil
+		}
+		select {
+		case <-moved:
+		case <-end:
+			return u, nil
+		case <-ctx.Done():
+			return u, ctx.Err()
+		}
+	}
+}
+
+// update returns the changes after a revision; the lock is held.
+func (s *shelf) update(after uint64) roster.Update {
+	u := roster.Update{Revision: max(after, s.page.Revision)}
+	present := map[string]bool{}
+	for _, t := range s.page.Targets {
+		present[t.ID] = true
+		if s.touched[t.ID] > after {
+			u.Changed = append(u.Changed, t)
+		}
+	}
+	for id, at := range s.touched {
+		if at > after && !present[id] {
+			u.Gone = append(u.Gone, id)
+		}
+	}
+	return u
 }
 
 func (s *shelf) store() Store {
@@ -78,12 +161,13 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
-			if s.down {
+			if s.down || s.operatorDown {
 				return route.Operator{}, errDown
 			}
 			return s.operator, nil
 		},
 		AwaitOperator: s.await,
+		AwaitTargets:  s.awaitTargets,
 		Targets: func(_ context.Context, exact bool) (roster.Page, error) {
 			s.answer()
 			s.mu.Lock()
@@ -112,7 +196,7 @@
 	s.mu.Lock()
 	s.reads++
 	changed, deaf := s.changed, s.deaf
-	revision, down, compacted := s.operator.Revision, s.down, s.compacted
+	revision, down, compacted := s.operator.Revision, s.down || s.operatorDown, s.compacted
 	s.mu.Unlock()
 	switch {
 	case down:
@@ -215,11 +299,11 @@
 		require.Empty(t, f.View().Services["s"])
 		page.Revision = 3
 		s.set(func() { s.page = page })
-		time.Sleep(returnPeriod + time.Millisecond)
+		time.Sleep(251 * time.Millisecond)
 		require.Len(t, f.View().Services["s"], 1)
 		var before, after int
 		s.set(func() { before = s.reads })
-		time.Sleep(4 * targetsPeriod)
+		time.Sleep(4 * time.Second)
 		s.set(func() { after = s.reads })
 		require.LessOrEqual(t, after-before, 8, "readings are rare again")
 	})
@@ -304,19 +388,23 @@
 		s.put(t, 7)
 		s.set(func() { s.operator.Revision = 9 })
 		s.put(t, 8)
-		time.Sleep(lagLimit + 2*targetsPeriod)
+		time.Sleep(3500 * time.Millisecond)
 		require.Empty(t, f.View().Entries)
 	})
 }
 
 // TestTargetLeavesWhileReadingsLag guards against requests to a target whose leaving no lagging reading shows: it must be known within the 3 s after which the target gets no more work.
 func TestTargetLeavesWhileReadingsLag(t *testing.T) {
+	draining := []roster.Target{{ID: "a", Service: "s", Revision: 9, Draining: true}}
 	for _, one := range []struct {
 		name string
 		left []roster.Target
+		mute bool
 	}{
-		{name: "draining", left: []roster.Target{{ID: "a", Service: "s", Revision: 9, Draining: true}}},
-		{name: "gone", left: nil},
+		{name: "draining", left: draining},
+		{name: "gone"},
+		{name: "draining, and the call that waits for it hears nothing", left: draining, mute: true},
+		{name: "gone, and the call that waits for it hears nothing", mute: true},
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			withFollower(t, func(f *Follower, s *shelf) {
@@ -325,6 +413,7 @@
 				old := s.page
 				s.set(func() {
 					s.lagging = &old
+					s.mute = one.mute
 					s.page = roster.Page{Revision: 9, Targets: one.left}
 				})
 				time.Sleep(3 * time.Second)
@@ -334,6 +423,105 @@
 	}
 }
 
+// TestStartWithALaggingReading guards against a host that takes an old reading for the present: what has changed since must be known at once.
+func TestStartWithALaggingReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newShelf(t)
+		old := s.page
+		s.set(func() {
+			s.lagging = &old
+			s.page = roster.Page{Revision: 9, Targets: []roster.Target{{ID: "b", Service: "s", Revision: 9}}}
+		})
+		f := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
+		ctx, cancel := context.WithCancel(context.Background())
+		var loops sync.WaitGroup
+		defer loops.Wait()
+		defer cancel()
+		loops.Go(func() { f.RunTargets(ctx) })
+		time.Sleep(time.Millisecond)
+		require.Len(t, f.View().Services["s"], 1)
+		require.NotNil(t, f.View().Entries["b"])
+		s.set(func() { s.compacted = 9 })
+	})
+}
+
+// TestHistoryGoneAtAStart guards against a lagging reading from which no changes lead on any more: the targets are read exactly.
+func TestHistoryGoneAtAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newShelf(t)
+		old := s.page
+		s.set(func() {
+			s.lagging = &old
+			s.page = roster.Page{Revision: 9}
+			s.compacted = 9
+		})
+		f := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
+		ctx, cancel := context.WithCancel(context.Background())
+		var loops sync.WaitGroup
+		defer loops.Wait()
+		defer cancel()
+		loops.Go(func() { f.RunTargets(ctx) })
+		time.Sleep(time.Second)
+		require.Empty(t, f.View().Entries)
+	})
+}
+
+// TestManyChangesOfTargets guards against a call for each of many changes in quick succession, as cold targets make them, which the store counts.
+func TestManyChangesOfTargets(t *testing.T) {
+	withFollower(t, func(f *Follower, s *shelf) {
+		time.Sleep(time.Second)
+		var before, after int
+		s.set(func() { before = s.reads })
+		for i := range 500 {
+			s.set(func() {
+				s.page.Revision++
+				s.page.Targets = append([]roster.Target{}, s.page.Targets...)
+				s.page.Targets[0].Revision, s.page.Targets[0].Draining = s.page.Revision, i%2 == 0
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.set(func() { after = s.reads })
+		require.LessOrEqual(t, after-before, 15, "calls in 5 s, those for the operator included")
+		time.Sleep(mostSettle)
+		require.Equal(t, s.page.Revision, f.View().Revision)
+	})
+}
+
+// TestEntriesThatLapseInASilentOutage guards against targets that are dropped because their entries lapsed while no call was answered: whichever call is answered first, they are kept until they can be back.
+func TestEntriesThatLapseInASilentOutage(t *testing.T) {
+	withFollower(t, func(f *Follower, s *shelf) {
+		time.Sleep(time.Second)
+		page := s.page
+		s.set(func() { s.operatorDown = true })
+		time.Sleep(4 * time.Second)
+		s.set(func() { s.page = roster.Page{Revision: 2} })
+		time.Sleep(time.Millisecond)
+		require.Len(t, f.View().Services["s"], 1)
+		s.set(func() { s.operatorDown = false })
+		time.Sleep(2 * time.Second)
+		require.Len(t, f.View().Services["s"], 1)
+		page.Revision = 3
+		s.set(func() { s.page = page })
+		time.Sleep(4 * time.Second)
+		require.Len(t, f.View().Services["s"], 1)
+		require.True(t, f.View().Entries["a"].Absent.IsZero())
+	})
+}
+
+// TestEntriesThatDontComeBack are given up on when the time in which they come back is over, without any news of them.
+func TestEntriesThatDontComeBack(t *testing.T) {
+	withFollower(t, func(f *Follower, s *shelf) {
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(20 * time.Second)
+		s.set(func() { s.down, s.page = false, roster.Page{Revision: 2} })
+		time.Sleep(time.Second)
+		require.Len(t, f.View().Services["s"], 1)
+		time.Sleep(roster.ReturnGrace)
+		require.Empty(t, f.View().Entries)
+	})
+}
+
 // TestFeed has a host live by another's views, and read the store at once when they end.
 func TestFeed(t *testing.T) {
 	withFollower(t, func(source *Follower, s *shelf) {
@@ -371,7 +559,7 @@
 		time.Sleep(10 * time.Millisecond)
 		require.EqualValues(t, 6, fed.Config().Version)
 		s.set(func() { s.page = roster.Page{Revision: 2} })
-		time.Sleep(targetsPeriod + 10*time.Millisecond)
+		time.Sleep(1010 * time.Millisecond)
 		require.Empty(t, fed.View().Entries)
 		own.put(t, 8)
 		alive.Store(false)
@@ -387,8 +575,8 @@
 		s.set(func() { s.down = true })
 		time.Sleep(10 * time.Second)
 		state := source.Tell(Known{}, func() []coord.Member { return nil })
-		require.Greater(t, state.OperatorAge, time.Duration(watchShare*float64(apply))+watchSlack)
-		require.Greater(t, state.TargetsAge, freshTargets)
+		require.Greater(t, state.OperatorAge, source.fresh())
+		require.Greater(t, state.TargetsAge, source.fresh())
 	})
 }
 
--- a/roster/changes.go
+++ b/roster/changes.go
@@ -1,19 +1,30 @@
 package roster
 
-// Changes lead from one view to a later one.
-type Changes struct {
-	// From and To are the sums of the two views.
-	From, To uint64
+import "slices"
+
+// Update is what has changed since a revision of the store.
+type Update struct {
 	// Changed are the targets that are new or whose entry is another, Gone the ids of those that are no longer there.
 	Changed []Target
 	Gone    []string
-	// Revision is the store's revision of the later view.
+	// Revision is the store's revision that the changes lead to.
 	Revision uint64
 }
 
+// Changes lead from one view to a later one.
+type Changes struct {
+	// From and To are the sums of the two views.
+	From, To uint64
+	Update
+}
+
 // Since returns the changes from an earlier view.
 func (v *View) Since(old *View) Changes {
-	c := Changes{From: old.Sum, To: v.Sum, Revision: v.Revision}
+	c := Changes{
+		From:   old.Sum,
+		To:     v.Sum,
+		Update: Update{Revision: v.Revision},
+	}
 	for _, t := range v.Page().Targets {
 		if was := old.Entries[t.ID]; was == nil || was.Revision != t.Revision {
 			c.Changed = append(c.Changed, t)
@@ -32,19 +43,27 @@
 	if v.Sum != c.From {
 		return Page{}, false
 	}
-	gone := map[string]bool{}
-	for _, id := range c.Gone {
-		gone[id] = true
+	return c.Update.on(v.Page().Targets), true
+}
+
+// After returns the reading that an update leads to; targets that are missing from the store aren't in it.
+func (v *View) After(u Update) Page {
+	present := slices.DeleteFunc(v.Page().Targets, func(t Target) bool { return !v.Entries[t.ID].Absent.IsZero() })
+	return u.on(present)
+}
+
+// on returns the reading that the update of some targets leads to.
+func (u Update) on(targets []Target) Page {
+	replaced := map[string]bool{}
+	for _, id := range u.Gone {
+		replaced[id] = true
 	}
-	for _, t := range c.Changed {
-		gone[t.ID] = true
+	for _, t := range u.Changed {
+		replaced[t.ID] = true
 	}
-	p := Page{Revision: c.Revision}
-	for _, t := range v.Page().Targets {
-		if !gone[t.ID] {
-			p.Targets = append(p.Targets, t)
-		}
+	kept := slices.DeleteFunc(targets, func(t Target) bool { return replaced[t.ID] })
+	return Page{
+		Targets:  append(kept, u.Changed...),
+		Revision: u.Revision,
 	}
-	p.Targets = append(p.Targets, c.Changed...)
-	return p, true
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -75,8 +75,8 @@
 	return &View{Entries: map[string]*Entry{}, Services: map[string][]*Entry{}}
 }
 
-// returnGrace is the time in which entries that lapsed during an outage of the store are back after it; the platform states about two seconds.
-const returnGrace = 2500 * time.Millisecond
+// ReturnGrace is the time in which entries that lapsed during an outage of the store are back after it; the platform states about two seconds.
+const ReturnGrace = 2500 * time.Millisecond
 
 // Merge returns the view after a reading of the store; returned is the time at which the store was reached again after an outage, and zero if there was none.
 //
@@ -95,7 +95,7 @@
 		next.Entries[t.ID] = v.entry(t, now)
 	}
 	// Entries that lapsed while the store was away come back within the grace, so their targets go on until then.
-	if !returned.IsZero() && now.Sub(returned) < returnGrace {
+	if !returned.IsZero() && now.Sub(returned) < ReturnGrace {
 		for id, e := range v.Entries {
 			if next.Entries[id] == nil && !e.Draining {
 				kept := *e
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -54,3 +54,19 @@
 	v = v.Merge(page(2, a), start.Add(time.Second), time.Time{})
 	require.Equal(t, start.Add(3*time.Second), v.Entries["a"].ColdUntil)
 }
+
+// TestUpdateAfterAnOutage guards against a target whose entry lapsed being taken for one that is there, because a view that keeps it is what changes lead on from.
+func TestUpdateAfterAnOutage(t *testing.T) {
+	a, b := Target{ID: "a", Service: "s", Revision: 1}, Target{ID: "b", Service: "s", Revision: 1}
+	v := Empty().Merge(page(1, a, b), start, time.Time{})
+	back := start.Add(5 * time.Second)
+	v = v.Merge(v.After(Update{Gone: []string{"a"}, Revision: 2}), back, back)
+	require.Len(t, v.Services["s"], 2)
+	b.Revision, b.Draining = 3, true
+	v = v.Merge(v.After(Update{Changed: []Target{b}, Revision: 3}), back.Add(time.Second), back)
+	require.Len(t, v.Services["s"], 1)
+	require.False(t, v.Entries["a"].Absent.IsZero())
+	v = v.Merge(v.After(Update{Revision: 3}), back.Add(3*time.Second), back)
+	require.Empty(t, v.Services["s"])
+	require.Nil(t, v.Merge(v.After(Update{Revision: 2}), back.Add(3*time.Second), back), "an older update changes nothing")
+}
