follow: the age of views counts to the answer, and a source that loses the store says so at once

What could be seen: a host fed by another one takes its views for up to a second younger than they are, and goes on with them beyond the bound of 3 s on leaving targets when the source loses the store right after it has answered.

Cause: Tell worked the ages out when the question came and returned them up to feedWait later.

Change: ages are worked out again for the answer. A question is answered at once when the views no longer stand for the store's, so that the host that is fed turns elsewhere.

Tests: TestAgeOfAHeldQuestion (2.5 s expected, 1.5 s told) and TestSourceThatLosesTheStore (the target was still in service after 3 s) failed before. TestNewShardsWhileReadingsLag gave the operator's change and the targets' one revision, which a store doesn't do; now the targets come one revision earlier.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -96,7 +96,7 @@
 			f.log.Info("views of a host can't be had", zap.String("from", m.Name), zap.Error(err))
 			continue
 		}
-		if s.age() > f.fresh() {
+		if s.age() >= f.fresh() {
 			f.scope.Counter("feed_stale").Inc(1)
 			continue
 		}
@@ -221,20 +221,20 @@
 	}
 }
 
-// Tell returns what differs from what another host knows, as soon as something does or after feedWait.
+// Tell returns what differs from what another host knows, as soon as something does, after feedWait, or when the views here no longer stand for the store's.
 func (f *Follower) Tell(known Known, members func() []coord.Member) State {
-	deadline := f.clock.After(feedWait)
+	end := f.clock.Now().Add(feedWait)
 	for {
 		operatorChanged, viewChanged := f.operator.Changed(), f.view.Changed()
 		s, differs := f.differs(known, members())
-		if differs {
+		left := min(end.Sub(f.clock.Now()), f.fresh()-s.age())
+		if differs || left <= 0 {
 			return s
 		}
 		select {
 		case <-operatorChanged:
 		case <-viewChanged:
-		case <-deadline:
-			return s
+		case <-f.clock.After(left):
 		}
 	}
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -31,6 +31,8 @@
 	// operatorDown says that only readings of the operator's part fail.
 	operatorDown bool
 	deaf         bool
+	// hangs says that calls that wait get no answer until their context ends.
+	hangs bool
 	// mute says that calls that wait for targets hear of no change.
 	mute      bool
 	compacted uint64
@@ -129,13 +131,28 @@
 		select {
 		case <-moved:
 		case <-end:
-			return u, nil
+			s.hang(ctx)
+			return u, ctx.Err()
 		case <-ctx.Done():
 			return u, ctx.Err()
 		}
 	}
 }
 
+// hang keeps a call that waits without an answer for a second, the time that the store's client adds to the wait.
+func (s *shelf) hang(ctx context.Context) {
+	s.mu.Lock()
+	hangs := s.hangs
+	s.mu.Unlock()
+	if !hangs {
+		return
+	}
+	select {
+	case <-time.After(time.Second):
+	case <-ctx.Done():
+	}
+}
+
 // update returns the changes after a revision; the lock is held.
 func (s *shelf) update(after uint64) roster.Update {
 	u := roster.Update{Revision: max(after, s.page.Revision)}
@@ -212,8 +229,12 @@
 	case <-changed:
 		return after + 1, true, nil
 	case <-time.After(wait):
+		s.hang(ctx)
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if s.down {
+			return after, false, errDown
+		}
 		if deaf {
 			return after, false, nil
 		}
@@ -238,6 +259,21 @@
 	})
 }
 
+// withTargets runs f beside a follower of the targets of a store alone.
+func withTargets(t *testing.T, s func(*shelf), f func(*Follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newShelf(t)
+		store.set(func() { s(store) })
+		follower := New(timer.New(), store.store(), apply, zap.NewNop(), tally.NoopScope)
+		ctx, cancel := context.WithCancel(context.Background())
+		var loops sync.WaitGroup
+		defer loops.Wait()
+		defer cancel()
+		loops.Go(func() { follower.RunTargets(ctx) })
+		f(follower)
+	})
+}
+
 func TestChangesComeIntoForce(t *testing.T) {
 	withFollower(t, func(f *Follower, s *shelf) {
 		time.Sleep(time.Millisecond)
@@ -367,7 +403,7 @@
 		old := s.page
 		s.set(func() {
 			s.lagging = &old
-			s.page = roster.Page{Revision: 9, Targets: []roster.Target{{ID: "n", Service: "new", Revision: 9}}}
+			s.page = roster.Page{Revision: 8, Targets: []roster.Target{{ID: "n", Service: "new", Revision: 8}}}
 		})
 		s.change(route.Operator{Config: c, Revision: 9})
 		time.Sleep(time.Millisecond)
@@ -425,42 +461,25 @@
 
 // TestStartWithALaggingReading guards against a host that takes an old reading for the present: what has changed since must be known at once.
 func TestStartWithALaggingReading(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newShelf(t)
+	withTargets(t, func(s *shelf) {
 		old := s.page
-		s.set(func() {
-			s.lagging = &old
-			s.page = roster.Page{Revision: 9, Targets: []roster.Target{{ID: "b", Service: "s", Revision: 9}}}
-		})
-		f := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
-		ctx, cancel := context.WithCancel(context.Background())
-		var loops sync.WaitGroup
-		defer loops.Wait()
-		defer cancel()
-		loops.Go(func() { f.RunTargets(ctx) })
+		s.lagging = &old
+		s.page = roster.Page{Revision: 9, Targets: []roster.Target{{ID: "b", Service: "s", Revision: 9}}}
+	}, func(f *Follower) {
 		time.Sleep(time.Millisecond)
 		require.Len(t, f.View().Services["s"], 1)
 		require.NotNil(t, f.View().Entries["b"])
-		s.set(func() { s.compacted = 9 })
 	})
 }
 
 // TestHistoryGoneAtAStart guards against a lagging reading from which no changes lead on any more: the targets are read exactly.
 func TestHistoryGoneAtAStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newShelf(t)
+	withTargets(t, func(s *shelf) {
 		old := s.page
-		s.set(func() {
-			s.lagging = &old
-			s.page = roster.Page{Revision: 9}
-			s.compacted = 9
-		})
-		f := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
-		ctx, cancel := context.WithCancel(context.Background())
-		var loops sync.WaitGroup
-		defer loops.Wait()
-		defer cancel()
-		loops.Go(func() { f.RunTargets(ctx) })
+		s.lagging = &old
+		s.page = roster.Page{Revision: 9}
+		s.compacted = 9
+	}, func(f *Follower) {
 		time.Sleep(time.Second)
 		require.Empty(t, f.View().Entries)
 	})
@@ -522,29 +541,40 @@
 	})
 }
 
-// TestFeed has a host live by another's views, and read the store at once when they end.
-func TestFeed(t *testing.T) {
+// fedHost is a host that lives by the views of a source and has a store of its own to turn to.
+type fedHost struct {
+	*Follower
+	own     *shelf
+	alive   atomic.Bool
+	tells   atomic.Int64
+	members []coord.Member
+}
+
+// withFed runs f beside a source and a host that is fed by it.
+func withFed(t *testing.T, f func(fed *fedHost, source *Follower, s *shelf)) {
 	withFollower(t, func(source *Follower, s *shelf) {
 		time.Sleep(time.Millisecond)
 		own := newShelf(t)
-		fed := New(timer.New(), own.store(), apply, zap.NewNop(), tally.NoopScope)
-		ctx, cancel := context.WithCancel(context.Background())
-		members := []coord.Member{{Name: "source"}}
-		var alive atomic.Bool
-		var tells atomic.Int64
-		alive.Store(true)
+		fed := &fedHost{
+			Follower: New(timer.New(), own.store(), apply, zap.NewNop(), tally.NoopScope),
+			own:      own,
+			members:  []coord.Member{{Name: "source"}},
+		}
+		fed.alive.Store(true)
+		members := func() []coord.Member { return fed.members }
 		feed := Feed{
-			Sources: func() []coord.Member { return members },
+			Sources: members,
 			Read: func(_ context.Context, _ coord.Member, k Known) (State, error) {
-				if !alive.Load() {
+				if !fed.alive.Load() {
 					return State{}, errDown
 				}
-				tells.Add(1)
-				return source.Tell(k, func() []coord.Member { return members }), nil
+				fed.tells.Add(1)
+				return source.Tell(k, members), nil
 			},
-			Members:    func() []coord.Member { return members },
-			SetMembers: func(all []coord.Member) { members = all },
+			Members:    members,
+			SetMembers: func(all []coord.Member) { fed.members = all },
 		}
+		ctx, cancel := context.WithCancel(context.Background())
 		var loops sync.WaitGroup
 		defer loops.Wait()
 		defer cancel()
@@ -552,22 +582,65 @@
 		time.Sleep(time.Millisecond)
 		loops.Go(func() { fed.RunOperator(ctx) })
 		loops.Go(func() { fed.RunTargets(ctx) })
+		f(fed, source, s)
+	})
+}
+
+// TestFeed has a host live by another's views, and read the store at once when they end.
+func TestFeed(t *testing.T) {
+	withFed(t, func(fed *fedHost, _ *Follower, s *shelf) {
 		time.Sleep(5 * time.Second)
-		require.Zero(t, own.reads)
-		require.LessOrEqual(t, tells.Load(), int64(7), "a question is held back while nothing changes")
+		require.Zero(t, fed.own.reads)
+		require.LessOrEqual(t, fed.tells.Load(), int64(7), "a question is held back while nothing changes")
 		s.put(t, 6)
 		time.Sleep(10 * time.Millisecond)
 		require.EqualValues(t, 6, fed.Config().Version)
 		s.set(func() { s.page = roster.Page{Revision: 2} })
 		time.Sleep(1010 * time.Millisecond)
 		require.Empty(t, fed.View().Entries)
-		own.put(t, 8)
-		alive.Store(false)
+		fed.own.put(t, 8)
+		fed.alive.Store(false)
 		time.Sleep(feedWait + feedGrace + retryPeriod)
 		require.EqualValues(t, 8, fed.Config().Version)
 	})
 }
 
+// TestSourceThatLosesTheStore guards against views whose age leaves out the time for which the question for them was held back: the host that is fed turns to the store within the bound on leaving targets.
+func TestSourceThatLosesTheStore(t *testing.T) {
+	for _, after := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			withFed(t, func(fed *fedHost, source *Follower, s *shelf) {
+				time.Sleep(3*time.Second + after)
+				lost := time.Now()
+				s.set(func() { s.down, s.hangs = true, true })
+				fed.own.set(func() { fed.own.page = roster.Page{Revision: 2} })
+				time.Sleep(3 * time.Second)
+				require.Empty(t, fed.View().Entries)
+				asked := time.Now()
+				state := source.Tell(source.known(fed.members), func() []coord.Member { return fed.members })
+				require.GreaterOrEqual(t, state.TargetsAge, time.Since(lost))
+				require.Less(t, time.Since(asked), feedWait, "a question that brings nothing of use is not held back")
+			})
+		})
+	}
+}
+
+// TestAgeOfAHeldQuestion guards against an age that counts to the time of the question, not to that of its answer.
+func TestAgeOfAHeldQuestion(t *testing.T) {
+	withFollower(t, func(source *Follower, s *shelf) {
+		time.Sleep(3 * time.Second)
+		members := func() []coord.Member { return nil }
+		operator, targets := source.Ages()
+		s.set(func() { s.down, s.hangs = true, true })
+		asked := time.Now()
+		state := source.Tell(source.known(nil), members)
+		held := time.Since(asked)
+		require.Positive(t, held)
+		require.Equal(t, operator+held, state.OperatorAge)
+		require.Equal(t, targets+held, state.TargetsAge)
+	})
+}
+
 // TestStaleSource doesn't live by a host that has lost the store.
 func TestStaleSource(t *testing.T) {
 	withFollower(t, func(source *Follower, s *shelf) {
