follow: calls for changes of targets end right after the operator's next answer

Revisions count changes of any key, and on a grown site something changes all the time: each source asked again every 2.5 s, three calls each time. A call that has gone silent was noticed only with the next change.

Now each call ends 50 ms after the operator's answer that is due, so one comparison shows whether it has missed anything, and a call that is silent ends within 0.6 of the bound and 0.5 s. No call is cut off any more. Pauses after changes begin at 0.25 s.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,15 +17,13 @@
 )
 
 const (
-	// watchShare is the part of the shortest bound on news within which one call waits for a change by the operator: a call that hears nothing, although there was a change, is followed by one that does.
-	watchShare = 0.5
-	// targetsWait is the longest time that one call waits for changes of targets; whether it has missed one shows in the answers to the calls that wait for the operator.
-	targetsWait = 10 * time.Second
+	// watchShare is the part of the shortest bound on news for which one call waits for a change: a call that hears nothing, although there was a change, is followed by one that does.
+	watchShare = 0.6
+	// afterOperator is the time after an answer about the operator's part at which one about the targets is due: the revision of the first shows whether the second has missed anything.
+	afterOperator = 50 * time.Millisecond
 	// leastSettle is the time between the answer to a call that brought changes of targets and the next call; it doubles up to mostSettle while changes follow each other, as cold targets make them.
-	leastSettle = 100 * time.Millisecond
+	leastSettle = 250 * time.Millisecond
 	mostSettle  = time.Second
-	// missedAfter is the time for which the store may be known to have changes that no call has brought before one asks for them.
-	missedAfter = 800 * time.Millisecond
 	// startLimit is the time after a start within which a store that is well has given configuration and targets, also to a host with a fifth of a core.
 	startLimit = 300 * time.Millisecond
 	// retryPeriod is the time between two tries while the store gives no answer.
@@ -66,8 +64,8 @@
 	began time.Time
 	// operatorRead and targetsRead are the times up to which the views are known to show all changes.
 	operatorRead, targetsRead atomic.Int64
-	// missed is told when the store is known to have changes that the targets don't show.
-	missed chan struct{}
+	// operatorDue is the time at which the call that waits for the operator is to be answered.
+	operatorDue atomic.Int64
 	// fed is the time until which another host's views stand for the store's.
 	fed atomic.Int64
 	// behind tells whether the targets show all that the store is known to hold.
@@ -82,9 +80,6 @@
 // ErrCompacted says that the store has dropped the history after a revision.
 var ErrCompacted = errors.New("the store has dropped the history after this revision")
 
-// errMissed ends a call that waits for changes of targets although there are some.
-var errMissed = errors.New("the store has changes that this call hasn't brought")
-
 // New returns a follower of a store that knows each change within news.
 func New(clock *timer.Service, store Store, news time.Duration, log *zap.Logger, scope tally.Scope) *Follower {
 	return &Follower{
@@ -97,7 +92,6 @@
 		operator: board.NewCell(&route.Operator{}),
 		view:     board.NewCell(roster.Empty()),
 		greeted:  make(chan coord.Member, 1),
-		missed:   make(chan struct{}, 1),
 		settle:   leastSettle,
 	}
 }
@@ -170,6 +164,7 @@
 // awaitChange returns as soon as something is to be read anew.
 func (f *Follower) awaitChange(ctx context.Context, after uint64) {
 	for ctx.Err() == nil && !f.Fed() {
+		f.operatorDue.Store(f.stamp(f.clock.Now().Add(f.watch)))
 		next, changed, err := f.store.AwaitOperator(ctx, after, f.watch)
 		switch {
 		case errors.Is(err, ErrCompacted):
@@ -193,24 +188,6 @@
 	later(&f.operatorRead, f.stamp(at))
 	if !f.behind.heard(revision, f.clock.Now()) {
 		later(&f.targetsRead, f.stamp(at))
-		return
-	}
-	wait := missedAfter
-	if f.clock.Since(f.returned()) < missedAfter {
-		// Right after an outage a call that waits is likely to have been lost.
-		wait = 0
-	}
-	f.clock.AfterFunc(wait, f.tellMissed)
-}
-
-// tellMissed has the targets asked for if they are behind the store.
-func (f *Follower) tellMissed() {
-	if !f.behind.is() {
-		return
-	}
-	select {
-	case f.missed <- struct{}{}:
-	default:
 	}
 }
 
@@ -289,12 +266,7 @@
 // awaitTargets waits for changes and reports whether the next ones lead on from the view.
 func (f *Follower) awaitTargets(ctx context.Context) bool {
 	asked := f.clock.Now()
-	u, err := f.nextUpdate(ctx)
-	missed := errors.Is(err, errMissed)
-	if missed {
-		// A call that doesn't wait brings what there is.
-		u, err = f.store.AwaitTargets(ctx, f.View().Revision, 0)
-	}
+	u, err := f.store.AwaitTargets(ctx, f.View().Revision, f.targetsWait(asked))
 	switch {
 	case errors.Is(err, ErrCompacted):
 		f.log.Info("history of the store is gone, reading targets anew", zap.Uint64("after", f.View().Revision))
@@ -312,7 +284,7 @@
 	now := f.clock.Now()
 	later(&f.targetsRead, f.stamp(now))
 	f.takeUpdate(u, now)
-	if missed && f.behind.is() {
+	if f.behind.is() {
 		f.log.Info("changes of targets aren't heard of, reading targets anew", zap.Uint64("after", u.Revision))
 		return false
 	}
@@ -327,26 +299,17 @@
 	return true
 }
 
-// nextUpdate waits for changes of targets; the error is errMissed where the store turns out to have some that the call hasn't brought.
-func (f *Follower) nextUpdate(ctx context.Context) (roster.Update, error) {
-	limited, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() {
-		for limited.Err() == nil {
-			select {
-			case <-f.missed:
-				if f.behind.is() {
-					cancel(errMissed)
-				}
-			case <-limited.Done():
-			}
-		}
-	}()
-	u, err := f.store.AwaitTargets(limited, f.View().Revision, targetsWait)
-	if err != nil && errors.Is(context.Cause(limited), errMissed) {
-		err = errMissed
+// targetsWait returns how long a call waits for changes of targets: until the answer about the operator that is due next has come.
+func (f *Follower) targetsWait(now time.Time) time.Duration {
+	switch due := time.Duration(f.operatorDue.Load() - f.stamp(now)); {
+	case due > 0:
+		return due + afterOperator
+	case due > -watchSlack:
+		return 2 * afterOperator
+	default:
+		// The operator's part isn't followed at the moment.
+		return f.watch
 	}
-	return u, err
 }
 
 // returned returns the time at which the store was reached again after an outage, zero where there was none.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -139,7 +139,7 @@
 	}
 }
 
-// hang keeps a call that waits without an answer for a second, the time that the store's client adds to the wait.
+// hang keeps a call that waits without an answer for a second, longer than the store's client adds to the wait.
 func (s *shelf) hang(ctx context.Context) {
 	s.mu.Lock()
 	hangs := s.hangs
@@ -443,18 +443,21 @@
 		{name: "gone, and the call that waits for it hears nothing", mute: true},
 	} {
 		t.Run(one.name, func(t *testing.T) {
-			withFollower(t, func(f *Follower, s *shelf) {
-				time.Sleep(time.Second)
-				require.Len(t, f.View().Services["s"], 1)
-				old := s.page
-				s.set(func() {
-					s.lagging = &old
-					s.mute = one.mute
-					s.page = roster.Page{Revision: 9, Targets: one.left}
+			// The calls that wait are at another point each time.
+			for after := time.Second; after < 3*time.Second; after += 100 * time.Millisecond {
+				withFollower(t, func(f *Follower, s *shelf) {
+					time.Sleep(after)
+					require.Len(t, f.View().Services["s"], 1)
+					old := s.page
+					s.set(func() {
+						s.lagging = &old
+						s.mute = one.mute
+						s.page = roster.Page{Revision: 9, Targets: one.left}
+					})
+					time.Sleep(3 * time.Second)
+					require.Empty(t, f.View().Services["s"], "known for %s", after)
 				})
-				time.Sleep(3 * time.Second)
-				require.Empty(t, f.View().Services["s"])
-			})
+			}
 		})
 	}
 }
