relay: each sub-request chooses among the targets in force, not those at the request's start

What could be seen: a hedge or a repeat goes to a target of which this host has known since the request began that it leaves; with deadlines of seconds beyond the 3 s after which it is to get nothing.

Change: choices read the roster that is in force; the request's first one is only reported. Two entries of one target are compared by id, as they come from different views now.

Tests: TestTargetThatLeavesDuringARequest failed before (the target got the repeat, or the hedge).

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -39,7 +39,8 @@
 	service := q.config.Services[p.service]
 	var best *roster.Entry
 	var least time.Duration
-	for _, t := range q.view.Services[p.service] {
+	// A target that has left since the request began is no longer there.
+	for _, t := range e.beliefs.View().Services[p.service] {
 		if !q.route.Allows(t.Region) || e.beliefs.Out(t.Datacentre) || !e.cold.open(t, service, now) || !may(t) {
 			continue
 		}
@@ -55,7 +56,7 @@
 	if len(p.flights) > 0 {
 		return q.end
 	}
-	other := q.fastest(p, now, func(t *roster.Entry) bool { return t != first })
+	other := q.fastest(p, now, func(t *roster.Entry) bool { return t.ID != first.ID })
 	if other == nil {
 		return q.end
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -89,7 +89,7 @@
 		}
 		l.engine = New(timer.New(), Place{Datacentre: "dc0", Region: "r0"}, Beliefs{
 			Config: func() *route.Config { return l.config },
-			View:   func() *roster.View { return l.view },
+			View:   l.known,
 			Out:    func(d string) bool { return l.out[d] },
 			Share:  func() float64 { return 0.8 / float64(l.hosts) },
 		}, Limits{
@@ -105,6 +105,13 @@
 	})
 }
 
+// known is the roster as it is now.
+func (l *fleet) known() *roster.View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view
+}
+
 func (l *fleet) send(ctx context.Context, to *roster.Entry, _ *Request, s Sub) (*Reply, error) {
 	l.mu.Lock()
 	l.sends[to.ID]++
--- a/relay/run.go
+++ b/relay/run.go
@@ -41,8 +41,9 @@
 	request *Request
 	config  *route.Config
 	route   *route.Route
-	view    *roster.View
-	start   time.Time
+	// view is the roster at the start; targets are chosen from the one in force at each choice.
+	view  *roster.View
+	start time.Time
 	// aim is when a merged answer goes out with the parts there are, end when any answer does.
 	aim, end time.Time
 	needed   int
