relay, pool: a sub-request that waited for its connection is sent only while its target may get work

What could be seen: a target is chosen, its connection takes up to 1.5 s (a lost opening packet is sent again after a second), and the request is written to a target that has left meanwhile, or whose data centre was taken out.

Change: the pool asks, when it has a connection, whether the request is still wanted. One that isn't counts as not sent, so another target gets it, also where it may not be repeated, and the target's rank stays as it is.

Tests: pool TestRequestThatIsNoLongerWanted and relay TestTargetThatLeavesDuringADial fail without the check.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,6 +49,8 @@
 	Fresh bool
 	// Keep bounds the idle connections that are kept to the address.
 	Keep int
+	// Wanted reports whether the request is still to be sent once there is a connection for it; nil means always.
+	Wanted func() bool
 	// Matches reports whether an answer belongs to this request; others are passed over.
 	Matches func(http.Header) bool
 }
@@ -60,6 +62,9 @@
 	Body   []byte
 }
 
+// ErrUnwanted says that a request was no longer wanted when there was a connection for it.
+var ErrUnwanted = errors.New("the request is no longer to be sent there")
+
 // Error says how an exchange failed.
 type Error struct {
 	// Sent says that bytes of the request may have reached the target.
@@ -125,6 +130,10 @@
 			Err:  err,
 		}
 	}
+	if r.Wanted != nil && !r.Wanted() {
+		c.Close()
+		return nil, &Error{Err: ErrUnwanted}
+	}
 	// A deadline in the past wakes a blocked read or write when the context ends.
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -209,3 +209,30 @@
 	require.EqualValues(t, 1, s.connections.Load())
 	require.Error(t, p.Prepare(context.Background(), netip.MustParseAddrPort("127.0.0.1:1")))
 }
+
+// TestRequestThatIsNoLongerWanted guards against a request that waits for its connection and then reaches a target that has left meanwhile.
+func TestRequestThatIsNoLongerWanted(t *testing.T) {
+	s := withTarget(t, whole, whole)
+	p := withPool(t)
+	var left atomic.Bool
+	dial := p.dial
+	p.dial = func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		left.Store(true)
+		return dial(ctx, a)
+	}
+	wanted := func() bool { return !left.Load() }
+	_, err := ask(p, s, Request{Wanted: wanted})
+	require.ErrorIs(t, err, ErrUnwanted)
+	var lost *Error
+	require.ErrorAs(t, err, &lost)
+	require.False(t, lost.Sent)
+	require.Zero(t, s.requests.Load())
+	left.Store(false)
+	p.dial = dial
+	_, err = ask(p, s, Request{Wanted: wanted, Keep: 1})
+	require.NoError(t, err)
+	left.Store(true)
+	_, err = ask(p, s, Request{Wanted: wanted, Keep: 1})
+	require.ErrorIs(t, err, ErrUnwanted, "over a kept connection")
+	require.EqualValues(t, 1, s.requests.Load())
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -51,6 +51,12 @@
 	return best
 }
 
+// serves reports whether a target that was chosen may still get work.
+func (e *Engine) serves(t *roster.Entry) bool {
+	known := e.beliefs.View().Entries[t.ID]
+	return known != nil && !known.Draining && !e.beliefs.Out(t.Datacentre)
+}
+
 // lastHedge returns the latest time at which another target of a part can still be asked to answer by the objective, or a time after it where that is too soon to tell anything.
 func (q *run) lastHedge(p *part, first *roster.Entry, now time.Time) time.Time {
 	if len(p.flights) > 0 {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -70,6 +70,8 @@
 	acts  map[string]behaviour
 	sends map[string]int
 	total int
+	// connects is the time that a connection to a target takes.
+	connects map[string]time.Duration
 }
 
 const (
@@ -86,11 +88,13 @@
 			hosts: 10,
 			acts:  map[string]behaviour{},
 			sends: map[string]int{},
+
+			connects: map[string]time.Duration{},
 		}
 		l.engine = New(timer.New(), Place{Datacentre: "dc0", Region: "r0"}, Beliefs{
 			Config: func() *route.Config { return l.config },
 			View:   l.known,
-			Out:    func(d string) bool { return l.out[d] },
+			Out:    l.isOut,
 			Share:  func() float64 { return 0.8 / float64(l.hosts) },
 		}, Limits{
 			Extra:  0.2,
@@ -105,6 +109,12 @@
 	})
 }
 
+func (l *fleet) isOut(datacentre string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.out[datacentre]
+}
+
 // known is the roster as it is now.
 func (l *fleet) known() *roster.View {
 	l.mu.Lock()
@@ -113,6 +123,15 @@
 }
 
 func (l *fleet) send(ctx context.Context, to *roster.Entry, _ *Request, s Sub) (*Reply, error) {
+	l.mu.Lock()
+	connects := l.connects[to.ID]
+	l.mu.Unlock()
+	if connects > 0 {
+		time.Sleep(connects)
+		if !s.Wanted() {
+			return nil, &pool.Error{Err: pool.ErrUnwanted}
+		}
+	}
 	l.mu.Lock()
 	l.sends[to.ID]++
 	l.total++
--- a/relay/leaving_test.go
+++ b/relay/leaving_test.go
@@ -82,3 +82,40 @@
 		require.Equal(t, 1, l.sentTo(only))
 	})
 }
+
+// TestTargetThatLeavesDuringADial guards against a sub-request that was chosen in time and is sent, when its connection is there, after its target has left or its data centre was taken out: another target gets it, also one that may not be repeated.
+func TestTargetThatLeavesDuringADial(t *testing.T) {
+	for _, one := range []struct {
+		name       string
+		idempotent bool
+		leave      func(*fleet, string)
+	}{
+		{name: "draining", idempotent: true, leave: func(l *fleet, id string) { l.leave(id, true) }},
+		{name: "gone, not to be repeated", leave: func(l *fleet, id string) { l.leave(id, false) }},
+		{name: "data centre out", idempotent: true, leave: func(l *fleet, _ string) { l.takeOut("dc0") }},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			withFleet(t, func(l *fleet) {
+				l.one(one.idempotent, 2)
+				first := l.add("one", 0, nil)
+				other := l.add("one", 1, nil)
+				l.connects[first] = 20 * time.Millisecond
+				go func() {
+					time.Sleep(10 * time.Millisecond)
+					one.leave(l, first)
+				}()
+				a, _ := l.ask("/one/1")
+				require.Nil(t, a.Fault)
+				require.Zero(t, l.sentTo(first))
+				require.Equal(t, 1, l.sentTo(other))
+			})
+		})
+	}
+}
+
+// takeOut takes a data centre out of service.
+func (l *fleet) takeOut(datacentre string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.out[datacentre] = true
+}
--- a/relay/report.go
+++ b/relay/report.go
@@ -68,13 +68,13 @@
 	e.write(q, a, outcome, now)
 }
 
-// noteLeaving counts and logs a sub-request to a target that this host knows to be draining or gone.
+// noteLeaving counts and logs a sub-request to a target that this host knows to be draining, gone or out of service.
 func (q *run) noteLeaving(f *flight) {
 	e := q.engine
-	view := e.beliefs.View()
-	if known := view.Entries[f.to.ID]; known != nil && !known.Draining {
+	if e.serves(f.to) {
 		return
 	}
+	view := e.beliefs.View()
 	e.scope.Counter("leaving_sends").Inc(1)
 	e.log.Info("sub-request goes to a target that leaves", zap.String("request", q.request.ID), zap.String("target", f.to.ID), zap.Int64("ms", f.sent.Sub(q.start).Milliseconds()), zap.Uint64("chosen_from", q.view.Revision), zap.Uint64("roster_revision", view.Revision))
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -511,6 +511,7 @@
 		Deadline: q.end,
 		Fresh:    !q.route.Idempotent,
 		Keep:     e.keep(q.config.Services[p.service]),
+		Wanted:   func() bool { return e.serves(to) },
 	}
 	go func() {
 		reply, err := e.send(q.work, to, q.request, sub)
@@ -523,7 +524,7 @@
 func verdict(work context.Context, reply *Reply, err error) rank.Outcome {
 	var lost *pool.Error
 	switch {
-	case err != nil && work.Err() != nil:
+	case err != nil && work.Err() != nil, errors.Is(err, pool.ErrUnwanted):
 		return rank.Dropped
 	case errors.As(err, &lost) && !lost.Sent:
 		return rank.Dead
--- a/relay/types.go
+++ b/relay/types.go
@@ -87,6 +87,8 @@
 	Fresh bool
 	// Keep bounds the idle connections that are kept to the target.
 	Keep int
+	// Wanted reports whether the target may still get the sub-request, which is asked when there is a connection for it.
+	Wanted func() bool
 }
 
 // Helpers are other hosts that ask the shards of their data centre and merge what comes, so that only the merged records travel.
