conf, front: news of the store are asked for within the shortest of three bounds

What could be seen: the time that calls to the store wait came from the bound on the configuration alone. Where targets have to be left alone within less time than that, or data centres taken out, news of them came too late.

TestNewsComeWithinTheShortestBound.

--- a/conf/front.go
+++ b/conf/front.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"time"
 
 	"kingcupcross/units"
 )
@@ -35,6 +36,10 @@
 	Grace units.Duration `json:"grace" default:"6s" min:"1s" max:"10m" doc:"time from the signal to stop until the process is killed"`
 	// Apply is the time within which a change of the configuration is in force.
 	Apply units.Duration `json:"apply" default:"3s" min:"500ms" max:"1m" doc:"time within which a change of the configuration is in force"`
+	// Leave is the time within which a target that leaves gets no more work.
+	Leave units.Duration `json:"leave" default:"3s" min:"500ms" max:"1m" doc:"time within which a target that leaves gets no more work"`
+	// Out is the time within which a data centre that is taken out of service gets no more work.
+	Out units.Duration `json:"out" default:"5s" min:"500ms" max:"1m" doc:"time within which a data centre that is taken out of service gets no more work"`
 	// Extra is the share of sub-requests that may be sent on top of the first ones.
 	Extra float64 `json:"extra" default:"0.2" min:"0" max:"1" doc:"share of hedges and retries of a service's requests, over all hosts"`
 	// Slack is the number of hedges and retries beyond the share that all hosts together may send at once.
@@ -45,6 +50,11 @@
 	Margin float64 `json:"margin" default:"5" min:"0" max:"1000" doc:"requests a second to a cold target beyond that, over all hosts"`
 }
 
+// News returns the shortest time within which a change in the platform's store has to be acted on.
+func (c *Front) News() time.Duration {
+	return min(c.Apply.D(), c.Leave.D(), c.Out.D())
+}
+
 // LoadFront reads and checks the settings of a host on the users' platform; the error joins an Error for each finding.
 func LoadFront(name string) (*Front, error) {
 	f, err := Read(name)
--- a/conf/front_test.go
+++ b/conf/front_test.go
@@ -47,3 +47,18 @@
 		require.ErrorContains(t, err, "front.jsonc:")
 	}
 }
+
+// TestNewsComeWithinTheShortestBound guards against a host that reads the store as often as changes of the configuration need it, where targets leave or data centres are taken out within less time.
+func TestNewsComeWithinTheShortestBound(t *testing.T) {
+	for settings, want := range map[string]time.Duration{
+		`"apply": "9s"`: 3 * time.Second,
+		`"apply": "2s"`: 2 * time.Second,
+		`"apply": "9s", "leave": "8s", "out": "7s"`:   7 * time.Second,
+		`"apply": "9s", "leave": "1500ms"`:            1500 * time.Millisecond,
+		`"apply": "20s", "leave": "20s", "out": "1s"`: time.Second,
+	} {
+		f, err := loadFront(t, strings.Replace(goodFront, `"name": "h"`, `"name": "h", `+settings, 1))
+		require.NoError(t, err)
+		require.Equal(t, want, f.News(), settings)
+	}
+}
