soak, deploy: targets leave while readings of the store lag

The soak drained targets only among harms, where requests to them aren't judged, and its store never lagged. Now readings that may lag are held back at any time, and three targets leave in calm while they are.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -179,6 +179,12 @@
 			during(d, func() { w.gateway.Silence(false, true) }, func() { w.gateway.Silence(false, false) })
 		},
 		func(_ *rand.Rand, d time.Duration) { during(d/4, w.gateway.Reset, func() {}) },
+		// Readings that may lag do so at any time, also while nothing is wrong.
+		func(_ *rand.Rand, d time.Duration) {
+			w.store.Hold()
+			time.Sleep(2 * d)
+			w.store.Release()
+		},
 		func(*rand.Rand, time.Duration) { w.configure() },
 		func(r *rand.Rand, _ time.Duration) { w.drain(r) },
 	}
@@ -197,9 +203,18 @@
 	return slices.DeleteFunc(slices.Clone(w.targets), func(t *mock.Target) bool { return t.Service != service })
 }
 
-// plan makes planned changes without any harm beside them: a configuration, then the stop of two hosts, whose callers stay with them.
-func (w *world) plan() {
+// drainsInCalm is the number of targets that leave while nothing is wrong.
+const drainsInCalm = 3
+
+// plan makes planned changes without any harm beside them: a configuration, then targets leave while readings that may lag don't show it, then the stop of two hosts, whose callers stay with them.
+func (w *world) plan(r *rand.Rand) {
 	w.configure()
+	time.Sleep(time.Second)
+	w.store.Hold()
+	defer w.store.Release()
+	for range drainsInCalm {
+		w.drain(r)
+	}
 	time.Sleep(applyBound + slack + time.Second)
 	for _, h := range w.hosts[:2] {
 		h.signal(syscall.SIGTERM)
@@ -236,7 +251,7 @@
 	calm := time.Now()
 	time.Sleep(2 * time.Second)
 	planned := time.Now()
-	w.plan()
+	w.plan(r)
 	cancel()
 	group.Wait()
 	return w.judge(requests, calm, planned)
