follow: a call that is cut is no outage of the store

What could be seen: a target whose entry is removed, which is the only sign that some give, went on getting work for up to 2.5 s more where the call that waits for the operator had been cut shortly before. The store may cut waiting calls at any time, and each such cut counted as an outage in which entries lapse, so missing ones were kept until they could be back.

Change: a call that ends early without an answer is followed by a reading, and only a reading that fails, or a call that is silent for all its time, is an outage. Calls that are always cut are made every 0.4 s at most.

Tests: TestCutCallIsNoOutage failed before; TestCallsThatAreAlwaysCut holds the number of calls.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -164,12 +164,19 @@
 // awaitChange returns as soon as something is to be read anew.
 func (f *Follower) awaitChange(ctx context.Context, after uint64) {
 	for ctx.Err() == nil && !f.Fed() {
-		f.operatorDue.Store(f.stamp(f.clock.Now().Add(f.watch)))
+		asked := f.clock.Now()
+		f.operatorDue.Store(f.stamp(asked.Add(f.watch)))
 		next, changed, err := f.store.AwaitOperator(ctx, after, f.watch)
 		switch {
 		case errors.Is(err, ErrCompacted):
 			f.log.Info("history of the store is gone, reading anew", zap.Uint64("after", after))
 			return
+		case err != nil && f.clock.Since(asked) < f.watch:
+			// A call that waits may be cut; whether the store can be reached shows in the reading that follows.
+			f.scope.Counter("calls_cut").Inc(1)
+			f.log.Info("operator's part is read anew", zap.Uint64("after", after), zap.Error(err))
+			f.pause(ctx)
+			return
 		case err != nil:
 			f.lost("operator", err)
 			f.pause(ctx)
@@ -273,7 +280,7 @@
 		return false
 	case err != nil:
 		// A call that waits may be cut; whether the store can be reached shows in the reading that follows.
-		f.scope.Counter("targets_cut").Inc(1)
+		f.scope.Counter("calls_cut").Inc(1)
 		f.log.Info("targets are read anew", zap.Uint64("after", f.View().Revision), zap.Error(err))
 		return false
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -46,6 +46,9 @@
 	touched map[string]uint64
 	noted   roster.Page
 	moved   chan struct{}
+	// cut ends calls that wait when it is closed, cuts ends each at once.
+	cut  chan struct{}
+	cuts bool
 }
 
 var errDown = errors.New("store is down")
@@ -55,6 +58,7 @@
 		changed: make(chan struct{}),
 		touched: map[string]uint64{},
 		moved:   make(chan struct{}),
+		cut:     make(chan struct{}),
 	}
 	s.put(t, 1)
 	s.set(func() {
@@ -117,9 +121,10 @@
 	for {
 		s.mu.Lock()
 		u, moved, down, deaf, compacted := s.update(after), s.moved, s.down, s.deaf || s.mute, s.compacted
+		cut, cuts := s.cut, s.cuts
 		s.mu.Unlock()
 		switch {
-		case down:
+		case down, cuts:
 			return u, errDown
 		case after < compacted:
 			return u, ErrCompacted
@@ -129,6 +134,8 @@
 			return u, nil
 		}
 		select {
+		case <-cut:
+			return u, s.mend()
 		case <-moved:
 		case <-end:
 			s.hang(ctx)
@@ -139,6 +146,15 @@
 	}
 }
 
+// mend lets later calls wait again after a cut.
+func (s *shelf) mend() error {
+	time.Sleep(time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = make(chan struct{})
+	return errDown
+}
+
 // hang keeps a call that waits without an answer for a second, longer than the store's client adds to the wait.
 func (s *shelf) hang(ctx context.Context) {
 	s.mu.Lock()
@@ -214,9 +230,10 @@
 	s.reads++
 	changed, deaf := s.changed, s.deaf
 	revision, down, compacted := s.operator.Revision, s.down || s.operatorDown, s.compacted
+	cut, cuts := s.cut, s.cuts
 	s.mu.Unlock()
 	switch {
-	case down:
+	case down, cuts:
 		return after, false, errDown
 	case after < compacted:
 		return after, false, ErrCompacted
@@ -226,6 +243,8 @@
 		changed = nil
 	}
 	select {
+	case <-cut:
+		return after, false, s.mend()
 	case <-changed:
 		return after + 1, true, nil
 	case <-time.After(wait):
@@ -530,6 +549,33 @@
 	})
 }
 
+// TestCutCallIsNoOutage guards against a target that is gone and gets work for a further 2.5 s, because a call that was cut counted as an outage in which entries lapse.
+func TestCutCallIsNoOutage(t *testing.T) {
+	withFollower(t, func(f *Follower, s *shelf) {
+		time.Sleep(4 * time.Second)
+		s.set(func() { close(s.cut) })
+		time.Sleep(retryPeriod + 10*time.Millisecond)
+		require.False(t, f.Away())
+		s.set(func() { s.page = roster.Page{Revision: 2} })
+		time.Sleep(10 * time.Millisecond)
+		require.Empty(t, f.View().Entries)
+	})
+}
+
+// TestCallsThatAreAlwaysCut guards against a call right after each that is cut, where the store answers readings only.
+func TestCallsThatAreAlwaysCut(t *testing.T) {
+	withFollower(t, func(f *Follower, s *shelf) {
+		time.Sleep(4 * time.Second)
+		s.set(func() { close(s.cut) })
+		s.set(func() { s.cuts = true })
+		var before, after int
+		s.set(func() { before = s.reads })
+		time.Sleep(10 * time.Second)
+		s.set(func() { after = s.reads })
+		require.LessOrEqual(t, after-before, 2*2*25+4, "two loops, a reading and a call each 0.4 s")
+	})
+}
+
 // TestEntriesThatDontComeBack are given up on when the time in which they come back is over, without any news of them.
 func TestEntriesThatDontComeBack(t *testing.T) {
 	withFollower(t, func(f *Follower, s *shelf) {
--- a/meter/names.go
+++ b/meter/names.go
@@ -40,7 +40,7 @@
 	{Name: "follow_operator_age_seconds", Kind: Gauge, Help: "time since configuration and data centres out of service were known to show all changes"},
 	{Name: "follow_targets_age_seconds", Kind: Gauge, Help: "time since the targets were known to show all changes"},
 	{Name: "follow_targets_behind_seconds", Kind: Gauge, Help: "time for which the store has been known to have changes, of any key, that the targets don't show yet"},
-	{Name: "follow_targets_cut", Kind: Counter, Help: "calls that wait for changes of targets without an answer"},
+	{Name: "follow_calls_cut", Kind: Counter, Help: "calls that wait for changes and ended without an answer"},
 	{Name: "follow_store_failures", Kind: Counter, Help: "calls that the store gave no answer to"},
 	{Name: "follow_store_reachable", Kind: Gauge, Help: "1 while the store answers, 0 while it doesn't"},
 	{Name: "follow_spare_reads", Kind: Counter, Help: "views taken from other hosts while the store couldn't be reached"},
