--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -564,7 +564,7 @@
 
 // TestCallsThatAreAlwaysCut guards against a call right after each that is cut, where the store answers readings only.
 func TestCallsThatAreAlwaysCut(t *testing.T) {
-	withFollower(t, func(f *Follower, s *shelf) {
+	withFollower(t, func(_ *Follower, s *shelf) {
 		time.Sleep(4 * time.Second)
 		s.set(func() { close(s.cut) })
 		s.set(func() { s.cuts = true })
