follow: a configuration that names services without targets waits a moment for them

Cause: the index is cut anew while the store is away. The version that names the new shards comes into force as soon as the store is back, up to 1.4 s before the new targets have written their entries; the targets of the version before still serve.

Change: such a version is held back until its services have targets for as much of each route as before, for 0.3 of the shortest bound on news at most, versions in quick succession together no longer than the first. What the reading says of data centres out is in force at once.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -52,6 +52,10 @@
 	operator *board.Cell[route.Operator]
 	view     *board.Cell[roster.View]
 
+	// hold is the time for which a configuration is held back at most, held the one that is.
+	hold time.Duration
+	held atomic.Pointer[held]
+
 	// away says that the store gave no answer lately.
 	away atomic.Bool
 	// targetsAt is the time of the last reading of the targets; only their loop uses it.
@@ -86,6 +90,7 @@
 		clock:    clock,
 		store:    store,
 		watch:    time.Duration(watchShare * float64(news)),
+		hold:     time.Duration(holdShare * float64(news)),
 		log:      log,
 		scope:    scope,
 		began:    clock.Now(),
@@ -208,11 +213,10 @@
 		if o.Revision < old.Revision {
 			return nil
 		}
-		if o.Config == nil || (old.Config != nil && o.Config.Version <= old.Config.Version) {
+		if o.Config == nil || (old.Config != nil && o.Config.Version <= old.Config.Version) || f.holds(o.Config, old.Config) {
 			o.Config = old.Config
 		} else {
-			f.log.Info("configuration is in force", zap.Uint64("version", o.Config.Version), zap.Uint64("revision", o.Revision), zap.Int("routes", len(o.Config.Routes)))
-			f.scope.Gauge("config_version").Update(float64(o.Config.Version))
+			f.sayConfig(&o)
 		}
 		for d := range o.Out {
 			if !old.Out[d] {
@@ -228,6 +232,11 @@
 	})
 }
 
+func (f *Follower) sayConfig(o *route.Operator) {
+	f.log.Info("configuration is in force", zap.Uint64("version", o.Config.Version), zap.Uint64("revision", o.Revision), zap.Int("routes", len(o.Config.Routes)))
+	f.scope.Gauge("config_version").Update(float64(o.Config.Version))
+}
+
 // RunTargets follows the targets until the context ends.
 //
 // A reading may be old, so it is only what changes lead on from: each call after it brings all changes since the last, however old that was.
@@ -352,6 +361,7 @@
 		return next
 	})
 	f.sayBehind(now)
+	f.release()
 }
 
 // sayBehind logs that readings have been behind the store for a while, and that they no longer are.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -635,6 +635,79 @@
 	})
 }
 
+// shardsOf returns a version with one route over some shards.
+func shardsOf(t *testing.T, version uint64, shards ...string) *route.Config {
+	c, err := route.New(route.Config{Version: version, Routes: []route.Route{{
+		Prefix:  "/",
+		Timeout: time.Second,
+		Top:     1,
+		Shards:  shards,
+	}}})
+	require.NoError(t, err)
+	return c
+}
+
+// TestConfigurationBeforeItsTargets guards against refusals because a version that names new shards comes into force before their targets have written their entries, while those of the version before still serve.
+func TestConfigurationBeforeItsTargets(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		// comes is the time after which the new shard's target is there, zero for never.
+		comes, forced time.Duration
+		old           []string
+	}{
+		{name: "targets come", comes: 600 * time.Millisecond, forced: 600 * time.Millisecond, old: []string{"s"}},
+		{name: "targets don't come", forced: 900 * time.Millisecond, old: []string{"s"}},
+		{name: "the version before has none either", old: []string{"other"}},
+		{name: "the version before has no more of them", old: []string{"s", "other"}},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			withFollower(t, func(f *Follower, s *shelf) {
+				time.Sleep(time.Second)
+				s.change(route.Operator{Config: shardsOf(t, 2, one.old...), Revision: 2})
+				time.Sleep(2 * time.Second)
+				require.EqualValues(t, 2, f.Config().Version)
+				next := []string{"new"}
+				if len(one.old) > 1 {
+					next = append(next, "s")
+				}
+				began := time.Now()
+				s.change(route.Operator{Config: shardsOf(t, 3, next...), Out: map[string]bool{"d": true}, Revision: 3})
+				if one.comes > 0 {
+					go func() {
+						time.Sleep(one.comes)
+						s.set(func() {
+							s.page.Revision = 4
+							s.page.Targets = append(s.page.Targets[:1:1], roster.Target{ID: "n", Service: "new", Revision: 4})
+						})
+					}()
+				}
+				time.Sleep(time.Millisecond)
+				require.True(t, f.Out("d"), "a data centre is out at once")
+				for f.Config().Version < 3 {
+					time.Sleep(time.Millisecond)
+				}
+				require.InDelta(t, one.forced.Seconds(), time.Since(began).Seconds(), 0.005)
+			})
+		})
+	}
+}
+
+// TestVersionsInQuickSuccession are not held back longer than the first of them.
+func TestVersionsInQuickSuccession(t *testing.T) {
+	withFollower(t, func(f *Follower, s *shelf) {
+		time.Sleep(time.Second)
+		s.change(route.Operator{Config: shardsOf(t, 2, "s"), Revision: 2})
+		time.Sleep(time.Second)
+		for version := uint64(3); version < 13; version++ {
+			s.change(route.Operator{Config: shardsOf(t, version, "new"), Revision: version})
+			time.Sleep(200 * time.Millisecond)
+			if version > 8 {
+				require.Equal(t, version, f.Config().Version)
+			}
+		}
+	})
+}
+
 // TestFeed has a host live by another's views, and read the store at once when they end.
 func TestFeed(t *testing.T) {
 	withFed(t, func(fed *fedHost, _ *Follower, s *shelf) {
