follow: one outage of the operator's part keeps missing targets once

What could be seen: while the operator's keys can't be read but changes of targets come, each answer about targets counted as the first after a silent outage, so a target that is gone was kept for good.

Change: an answer begins the time in which missing entries are kept only if none did since the operator's part was last known. TestTargetLeavesWhileOnlyTheOperatorsPartCantBeRead failed before.

Besides: a host that is fed no longer says that its targets are behind, which it can't know, and a stop writes no line about a cut call.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -44,7 +44,7 @@
 type Follower struct {
 	clock *timer.Service
 	store Store
-	// watch is how long one call waits for a change by the operator.
+	// watch is how long one call waits for a change at most.
 	watch time.Duration
 	log   *zap.Logger
 	scope tally.Scope
@@ -287,17 +287,19 @@
 	case errors.Is(err, ErrCompacted):
 		f.log.Info("history of the store is gone, reading targets anew", zap.Uint64("after", f.View().Revision))
 		return false
+	case ctx.Err() != nil:
+		return false
 	case err != nil:
 		// A call that waits may be cut; whether the store can be reached shows in the reading that follows.
 		f.scope.Counter("calls_cut").Inc(1)
 		f.log.Info("targets are read anew", zap.Uint64("after", f.View().Revision), zap.Error(err))
 		return false
 	}
-	if operator, _ := f.Ages(); operator > f.fresh() {
+	now := f.clock.Now()
+	if silent := f.stamp(now) - f.operatorRead.Load(); silent > int64(f.fresh()) && f.back.Load() < f.operatorRead.Load() {
 		// The store was silent and this is the first answer since.
 		f.noteReturn()
 	}
-	now := f.clock.Now()
 	later(&f.targetsRead, f.stamp(now))
 	f.takeUpdate(u, now)
 	if f.behind.is() {
@@ -367,7 +369,7 @@
 // sayBehind logs that readings have been behind the store for a while, and that they no longer are.
 func (f *Follower) sayBehind(now time.Time) {
 	lag, news := f.behind.shows(f.View().Revision, now)
-	if !news {
+	if !news || f.Fed() {
 		return
 	}
 	store, shown := f.behind.revisions()
@@ -378,8 +380,11 @@
 	f.log.Info(message, zap.Uint64("revision", shown), zap.Uint64("store", store), zap.Int64("behind_ms", lag.Milliseconds()))
 }
 
-// Lag returns the time for which the targets have been known to be behind the store.
+// Lag returns the time for which the targets have been known to be behind the store; a host that is fed doesn't know.
 func (f *Follower) Lag() time.Duration {
+	if f.Fed() {
+		return 0
+	}
 	return f.behind.lag(f.clock.Now())
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -576,6 +576,18 @@
 	})
 }
 
+// TestTargetLeavesWhileOnlyTheOperatorsPartCantBeRead guards against a target that is gone and kept for good, because each answer counts as the first after an outage.
+func TestTargetLeavesWhileOnlyTheOperatorsPartCantBeRead(t *testing.T) {
+	withFollower(t, func(f *Follower, s *shelf) {
+		time.Sleep(time.Second)
+		s.set(func() { s.operatorDown = true })
+		time.Sleep(10 * time.Second)
+		s.set(func() { s.page = roster.Page{Revision: 2} })
+		time.Sleep(roster.ReturnGrace)
+		require.Empty(t, f.View().Entries)
+	})
+}
+
 // TestEntriesThatDontComeBack are given up on when the time in which they come back is over, without any news of them.
 func TestEntriesThatDontComeBack(t *testing.T) {
 	withFollower(t, func(f *Follower, s *shelf) {
