follow: an outage of the store is a time without any answer

Cause: calls that wait get no answer in these seconds. The host took that for an outage, and after an outage it keeps targets whose entries are missing for 2.5 s. The store answered other calls all the while, and entries lapse only after three missed heartbeats.

Change: an outage begins the keeping of missing targets only if no call of any kind, readings of the hosts included, was answered for two heartbeats (setting beat, from the platform's heartbeatMs). Views of other hosts are taken as they are, since these keep what may come back.

Test: TestTargetLeavesWhileCallsThatWaitAreSilent, at ten points of the calls' cycle; fails with a shortest outage of 0. TestEntriesThatLapseInASilentOutage failed only the operator's readings, which is no outage any more; now all calls fail, and the operator's come back last.

--- a/conf/front.go
+++ b/conf/front.go
@@ -40,6 +40,8 @@
 	Leave units.Duration `json:"leave" default:"3s" min:"500ms" max:"1m" doc:"time within which a target that leaves gets no more work"`
 	// Out is the time within which a data centre that is taken out of service gets no more work.
 	Out units.Duration `json:"out" default:"5s" min:"500ms" max:"1m" doc:"time within which a data centre that is taken out of service gets no more work"`
+	// Beat is the time between two heartbeats of a target at the platform's store.
+	Beat units.Duration `json:"beat" default:"1200ms" min:"100ms" max:"1m" doc:"time between two heartbeats of a target at the platform's store"`
 	// Extra is the share of sub-requests that may be sent on top of the first ones.
 	Extra float64 `json:"extra" default:"0.2" min:"0" max:"1" doc:"share of hedges and retries of a service's requests, over all hosts"`
 	// Slack is the number of hedges and retries beyond the share that all hosts together may send at once.
@@ -55,6 +57,14 @@
 	return min(c.Apply.D(), c.Leave.D(), c.Out.D())
 }
 
+// lapseBeats is the number of heartbeats that an outage of the store lasts at least when entries lapse in it: three missed ones end an entry, and the last one may have come up to one before the outage.
+const lapseBeats = 2
+
+// Lapse returns the shortest outage of the store in which entries of targets lapse.
+func (c *Front) Lapse() time.Duration {
+	return lapseBeats * c.Beat.D()
+}
+
 // LoadFront reads and checks the settings of a host on the users' platform; the error joins an Error for each finding.
 func LoadFront(name string) (*Front, error) {
 	f, err := Read(name)
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -101,6 +101,8 @@
 			continue
 		}
 		f.takeState(s, feed)
+		// Views that stand for the store's are its answers, too.
+		f.answered.Store(f.stamp(f.clock.Now()))
 		if f.fed.Swap(f.stamp(f.clock.Now().Add(feedWait+feedGrace))) == 0 {
 			f.log.Info("views come from another host", zap.String("from", m.Name))
 		}
@@ -176,7 +178,7 @@
 	if p, err := f.targetsOf(s); err != nil {
 		f.log.Error("another host's targets can't be used", zap.Error(err))
 	} else if p != nil {
-		f.takeTargets(*p, now)
+		f.takeFed(*p, now)
 	}
 	if len(s.Members) > 0 {
 		feed.SetMembers(s.Members)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -62,8 +62,10 @@
 	targetsAt time.Time
 	// settle is the time until the next call for changes of targets after one that brought some.
 	settle time.Duration
-	// back is the time since which the store answers again after an outage, zero before the first.
-	back atomic.Int64
+	// lapse is the shortest outage of the store in which entries of targets lapse.
+	lapse time.Duration
+	// answered is the time of the last answer to any call, back that of the first one after an outage, zero before the first.
+	answered, back atomic.Int64
 	// began is the time that the next fields count from, in nanoseconds, so that no step of the time of day moves them.
 	began time.Time
 	// operatorRead and targetsRead are the times up to which the views are known to show all changes.
@@ -84,13 +86,14 @@
 // ErrCompacted says that the store has dropped the history after a revision.
 var ErrCompacted = errors.New("the store has dropped the history after this revision")
 
-// New returns a follower of a store that knows each change within news.
-func New(clock *timer.Service, store Store, news time.Duration, log *zap.Logger, scope tally.Scope) *Follower {
+// New returns a follower of a store that knows each change within news; lapse is the shortest outage of the store in which entries of targets lapse.
+func New(clock *timer.Service, store Store, news, lapse time.Duration, log *zap.Logger, scope tally.Scope) *Follower {
 	return &Follower{
 		clock:    clock,
 		store:    store,
 		watch:    time.Duration(watchShare * float64(news)),
 		hold:     time.Duration(holdShare * float64(news)),
+		lapse:    lapse,
 		log:      log,
 		scope:    scope,
 		began:    clock.Now(),
@@ -159,6 +162,7 @@
 			continue
 		}
 		f.regained("operator")
+		f.Answered()
 		f.heard(o.Revision, sent)
 		f.takeOperator(o)
 		f.awaitChange(ctx, o.Revision)
@@ -174,6 +178,7 @@
 		next, changed, err := f.store.AwaitOperator(ctx, after, f.watch)
 		switch {
 		case errors.Is(err, ErrCompacted):
+			f.Answered()
 			f.log.Info("history of the store is gone, reading anew", zap.Uint64("after", after))
 			return
 		case err != nil && f.clock.Since(asked) < f.watch:
@@ -186,7 +191,9 @@
 			f.lost("operator", err)
 			f.pause(ctx)
 			return
-		case changed:
+		}
+		f.Answered()
+		if changed {
 			return
 		}
 		// The answer to a call that waits holds for the time at which it is made.
@@ -272,6 +279,7 @@
 		return false
 	}
 	f.regained("targets")
+	f.Answered()
 	if exact {
 		later(&f.targetsRead, f.stamp(sent))
 	}
@@ -285,6 +293,7 @@
 	u, err := f.store.AwaitTargets(ctx, f.View().Revision, f.targetsWait(asked))
 	switch {
 	case errors.Is(err, ErrCompacted):
+		f.Answered()
 		f.log.Info("history of the store is gone, reading targets anew", zap.Uint64("after", f.View().Revision))
 		return false
 	case ctx.Err() != nil:
@@ -295,11 +304,8 @@
 		f.log.Info("targets are read anew", zap.Uint64("after", f.View().Revision), zap.Error(err))
 		return false
 	}
+	f.Answered()
 	now := f.clock.Now()
-	if silent := f.stamp(now) - f.operatorRead.Load(); silent > int64(f.fresh()) && f.back.Load() < f.operatorRead.Load() {
-		// The store was silent and this is the first answer since.
-		f.noteReturn()
-	}
 	later(&f.targetsRead, f.stamp(now))
 	f.takeUpdate(u, now)
 	if f.behind.is() {
@@ -344,6 +350,11 @@
 	f.takeView(now, func(old *roster.View) *roster.View { return old.Merge(p, now, f.returned()) })
 }
 
+// takeFed puts another host's targets in the place of the view, unless they are older; that host keeps those that may come back.
+func (f *Follower) takeFed(p roster.Page, now time.Time) {
+	f.takeView(now, func(old *roster.View) *roster.View { return old.Merge(p, now, time.Time{}) })
+}
+
 // takeUpdate puts changes into the view, unless it is newer.
 func (f *Follower) takeUpdate(u roster.Update, now time.Time) {
 	f.takeView(now, func(old *roster.View) *roster.View { return old.Update(u, now, f.returned()) })
@@ -427,13 +438,20 @@
 func (f *Follower) regained(what string) {
 	if f.away.Swap(false) {
 		f.log.Info("store is reached again", zap.String("reading", what))
-		f.noteReturn()
 	}
 }
 
-// noteReturn has targets that are missing from now on kept until they can no longer be expected back.
-func (f *Follower) noteReturn() {
-	f.back.Store(f.stamp(f.clock.Now()))
+// Answered notes that the store has answered a call, of any kind.
+//
+// The first answer after an outage has targets that are missing from then on kept until they can no longer be expected back. Calls that wait may be lost while others are answered, so only a time without any answer is an outage.
+func (f *Follower) Answered() {
+	now := f.stamp(f.clock.Now())
+	silent := time.Duration(now - f.answered.Swap(now))
+	if silent < f.lapse || f.Fed() {
+		return
+	}
+	f.log.Info("store answers again", zap.Int64("silent_ms", silent.Milliseconds()))
+	f.back.Store(now)
 	f.clock.AfterFunc(roster.ReturnGrace, func() {
 		f.takeUpdate(roster.Update{Revision: f.View().Revision}, f.clock.Now())
 	})
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -20,7 +20,10 @@
 	"kingcupcross/timer"
 )
 
-const apply = 3 * time.Second
+const (
+	apply = 3 * time.Second
+	lapse = 2400 * time.Millisecond
+)
 
 // shelf is a store that a test fills; its watches hear of a change unless they are deaf.
 type shelf struct {
@@ -121,14 +124,14 @@
 	for {
 		s.mu.Lock()
 		u, moved, down, deaf, compacted := s.update(after), s.moved, s.down, s.deaf || s.mute, s.compacted
-		cut, cuts := s.cut, s.cuts
+		cut, cuts, hangs := s.cut, s.cuts, s.hangs
 		s.mu.Unlock()
 		switch {
 		case down, cuts:
 			return u, errDown
 		case after < compacted:
 			return u, ErrCompacted
-		case deaf:
+		case deaf, hangs:
 			u = roster.Update{Revision: after}
 		case len(u.Changed)+len(u.Gone) > 0:
 			return u, nil
@@ -138,7 +141,9 @@
 			return u, s.mend()
 		case <-moved:
 		case <-end:
-			s.hang(ctx)
+			if s.hang(ctx) {
+				return u, errDown
+			}
 			return u, ctx.Err()
 		case <-ctx.Done():
 			return u, ctx.Err()
@@ -155,18 +160,19 @@
 	return errDown
 }
 
-// hang keeps a call that waits without an answer for a second, longer than the store's client adds to the wait.
-func (s *shelf) hang(ctx context.Context) {
+// hang keeps a call that waits for the time that the store's client adds to the wait, and reports whether it gets no answer.
+func (s *shelf) hang(ctx context.Context) bool {
 	s.mu.Lock()
 	hangs := s.hangs
 	s.mu.Unlock()
 	if !hangs {
-		return
+		return false
 	}
 	select {
-	case <-time.After(time.Second):
+	case <-time.After(500 * time.Millisecond):
 	case <-ctx.Done():
 	}
+	return true
 }
 
 // update returns the changes after a revision; the lock is held.
@@ -248,10 +254,10 @@
 	case <-changed:
 		return after + 1, true, nil
 	case <-time.After(wait):
-		s.hang(ctx)
+		hung := s.hang(ctx)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.down {
+		if s.down || hung {
 			return after, false, errDown
 		}
 		if deaf {
@@ -267,7 +273,7 @@
 func withFollower(t *testing.T, f func(*Follower, *shelf)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newShelf(t)
-		follower := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
+		follower := New(timer.New(), s.store(), apply, lapse, zap.NewNop(), tally.NoopScope)
 		ctx, cancel := context.WithCancel(context.Background())
 		var loops sync.WaitGroup
 		loops.Go(func() { follower.RunOperator(ctx) })
@@ -283,7 +289,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newShelf(t)
 		store.set(func() { s(store) })
-		follower := New(timer.New(), store.store(), apply, zap.NewNop(), tally.NoopScope)
+		follower := New(timer.New(), store.store(), apply, lapse, zap.NewNop(), tally.NoopScope)
 		ctx, cancel := context.WithCancel(context.Background())
 		var loops sync.WaitGroup
 		defer loops.Wait()
@@ -320,7 +326,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newShelf(t)
 				s.slow = one.slow
-				f := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
+				f := New(timer.New(), s.store(), apply, lapse, zap.NewNop(), tally.NoopScope)
 				ctx, cancel := context.WithCancel(context.Background())
 				var loops sync.WaitGroup
 				defer loops.Wait()
@@ -533,13 +539,13 @@
 	withFollower(t, func(f *Follower, s *shelf) {
 		time.Sleep(time.Second)
 		page := s.page
-		s.set(func() { s.operatorDown = true })
+		s.set(func() { s.down, s.operatorDown = true, true })
 		time.Sleep(4 * time.Second)
-		s.set(func() { s.page = roster.Page{Revision: 2} })
-		time.Sleep(time.Millisecond)
+		s.set(func() { s.down, s.page = false, roster.Page{Revision: 2} })
+		time.Sleep(retryPeriod)
 		require.Len(t, f.View().Services["s"], 1)
 		s.set(func() { s.operatorDown = false })
-		time.Sleep(2 * time.Second)
+		time.Sleep(2*time.Second - retryPeriod)
 		require.Len(t, f.View().Services["s"], 1)
 		page.Revision = 3
 		s.set(func() { s.page = page })
@@ -549,6 +555,24 @@
 	})
 }
 
+// TestTargetLeavesWhileCallsThatWaitAreSilent guards against a target that is gone and kept for 2.5 s more, because calls that wait got no answer while the store answered others, as it does when it drops its history.
+func TestTargetLeavesWhileCallsThatWaitAreSilent(t *testing.T) {
+	for after := time.Duration(0); after < 2*time.Second; after += 200 * time.Millisecond {
+		withFollower(t, func(f *Follower, s *shelf) {
+			time.Sleep(4*time.Second + after)
+			s.set(func() {
+				s.hangs = true
+				s.page = roster.Page{Revision: 2}
+			})
+			for range 6 {
+				time.Sleep(500 * time.Millisecond)
+				f.Answered()
+			}
+			require.Empty(t, f.View().Entries, "after %s", after)
+		})
+	}
+}
+
 // TestCutCallIsNoOutage guards against a target that is gone and gets work for a further 2.5 s, because a call that was cut counted as an outage in which entries lapse.
 func TestCutCallIsNoOutage(t *testing.T) {
 	withFollower(t, func(f *Follower, s *shelf) {
@@ -617,7 +641,7 @@
 		time.Sleep(time.Millisecond)
 		own := newShelf(t)
 		fed := &fedHost{
-			Follower: New(timer.New(), own.store(), apply, zap.NewNop(), tally.NoopScope),
+			Follower: New(timer.New(), own.store(), apply, lapse, zap.NewNop(), tally.NoopScope),
 			own:      own,
 			members:  []coord.Member{{Name: "source"}},
 		}
@@ -793,7 +817,7 @@
 		time.Sleep(time.Second)
 		ownStore := newShelf(t)
 		ownStore.down = true
-		own := New(timer.New(), ownStore.store(), apply, zap.NewNop(), tally.NoopScope)
+		own := New(timer.New(), ownStore.store(), apply, lapse, zap.NewNop(), tally.NoopScope)
 		ctx, cancel := context.WithCancel(context.Background())
 		members := []coord.Member{}
 		feed := Feed{
@@ -863,7 +887,7 @@
 		}
 		s.set(func() { s.page = page })
 		time.Sleep(1100 * time.Millisecond)
-		fed := New(timer.New(), s.store(), apply, zap.NewNop(), tally.NoopScope)
+		fed := New(timer.New(), s.store(), apply, lapse, zap.NewNop(), tally.NoopScope)
 		members := func() []coord.Member { return nil }
 		feed := Feed{SetMembers: func([]coord.Member) {}}
 		all := source.Tell(fed.known(nil), members)
--- a/front/fleet.go
+++ b/front/fleet.go
@@ -101,6 +101,7 @@
 		lease, renewed = f.keepEntry(ctx, lease, renewed)
 		if !f.follow.Fed() {
 			if all, err := f.store.Members(ctx); err == nil {
+				f.follow.Answered()
 				f.coord.SetMembers(all)
 			} else {
 				f.log.Debug("hosts can't be read", zap.Error(err))
--- a/front/front.go
+++ b/front/front.go
@@ -90,7 +90,7 @@
 		AwaitOperator: store.AwaitOperator,
 		Targets:       store.Targets,
 		AwaitTargets:  store.AwaitTargets,
-	}, c.News(), l.For("follow"), m.Scope.SubScope("follow"))
+	}, c.News(), c.Lapse(), l.For("follow"), m.Scope.SubScope("follow"))
 	store.Unreadable = f.follow.Unreadable
 	f.coord = coord.New(clock, coord.Parts{
 		Self: coord.Member{
