soak: guards where the code has them now

TestGuards takes a guard out of the source by its text. The text for changes of the configuration moved. The promise, its bound and the check are as they were.

--- a/soak/guards_test.go
+++ b/soak/guards_test.go
@@ -41,9 +41,9 @@
 	},
 	{
 		name:    "a leaving target gets nothing",
-		file:    "roster/roster.go",
-		from:    "if !e.Draining {",
-		to:      "if true {",
+		file:    "platform/target.go",
+		from:    "v.State == stateDraining,",
+		to:      "v.State == stateDraining && false,",
 		promise: "after it began to drain",
 	},
 	{
@@ -56,8 +56,8 @@
 	{
 		name:    "a change of the configuration is read",
 		file:    "follow/follow.go",
-		from:    "case changed:\n",
-		to:      "case changed && false:\n",
+		from:    "if changed {\n",
+		to:      "if changed && false {\n",
 		promise: "doesn't know version",
 	},
 	{
