--- a/coord/coord.go
+++ b/coord/coord.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,10 +29,6 @@
 	priorLatency = 80 * time.Millisecond
 	// avoid is the estimate from which a host serves a request itself.
 	avoid = time.Second
-	// delegated is how long the share of a host counts at the coordinator that it sent a request to.
-	delegated = 10 * time.Second
-	// shareOfAll is the part of the limits over all hosts that is dealt out.
-	shareOfAll = 0.8
 )
 
 // Parts are what a coordinator is made of.
@@ -67,16 +62,7 @@
 	version atomic.Uint64
 	// few says that this host had few requests lately.
 	few atomic.Bool
-
-	mu sync.Mutex
-	// origins are the hosts that sent requests here.
-	origins map[string]origin
-}
-
-// origin is a host that sends requests here, with the time of the last and the share of the limits that it leaves to this host.
-type origin struct {
-	at    time.Time
-	share float64
+	loans *loans
 }
 
 // New returns a Coord that knows no other hosts yet.
@@ -87,7 +73,7 @@
 		log:     log,
 		scope:   scope,
 		members: board.NewCell(&[]Member{}),
-		origins: map[string]origin{},
+		loans:   newLoans(),
 	}
 	c.few.Store(true)
 	return c
@@ -121,15 +107,7 @@
 
 // answersForOthers reports whether another host sent requests here lately.
 func (c *Coord) answersForOthers() bool {
-	now := c.clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, o := range c.origins {
-		if now.Sub(o.at) <= delegated {
-			return true
-		}
-	}
-	return false
+	return c.loans.busy(c.clock.Now())
 }
 
 // Chosen returns the other coordinators of the region in this host's own order, and whether this host answers its own requests as one of them.
@@ -191,21 +169,18 @@
 	return next
 }
 
-// Share returns the part of the limits over all hosts that this host may use: its own and those of the hosts that send their requests here.
-func (c *Coord) Share() float64 {
-	hosts := max(len(c.Members()), 1)
-	now := c.clock.Now()
-	share := shareOfAll / float64(hosts)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for name, o := range c.origins {
-		if now.Sub(o.at) > delegated {
-			delete(c.origins, name)
-			continue
-		}
-		share += o.share
+// own returns this host's part of the limits over all hosts.
+func (c *Coord) own() float64 {
+	hosts := len(c.Members())
+	if hosts == 0 {
+		hosts = unknownHosts
 	}
-	return min(share, 1)
+	return shareOfAll / float64(hosts)
+}
+
+// Share returns the part of the limits over all hosts that this host may use: its own and those that others leave to it, without what it leaves to others.
+func (c *Coord) Share() float64 {
+	return c.loans.held(c.own(), c.clock.Now())
 }
 
 // Handle answers a caller's request here or at a coordinator.
@@ -226,9 +201,7 @@
 // Answer answers a request at this host, also one that another host sent on.
 func (c *Coord) Answer(ctx context.Context, r *relay.Request) *relay.Answer {
 	if r.Origin != "" {
-		c.mu.Lock()
-		c.origins[r.Origin] = origin{at: c.clock.Now(), share: r.Share}
-		c.mu.Unlock()
+		c.loans.take(r.Origin, r.Share, r.Shards != nil, c.clock.Now())
 	}
 	least := max(r.Least, c.version.Load())
 	if config := c.Config(); config != nil && config.Version < least {
@@ -253,7 +226,7 @@
 		// A coordinator that is behind must not answer by less than this host knows.
 		c.advance(config.Version)
 	}
-	sent.Origin, sent.Least, sent.Reserve, sent.Share = c.Self.Name, c.version.Load(), c.way.reserve(), c.Share()
+	sent.Origin, sent.Least, sent.Reserve, sent.Share = c.Self.Name, c.version.Load(), c.way.reserve(), c.loans.lend(to.Name, c.own(), now)
 	k := c.rank(to)
 	f := k.Begin(now)
 	a, err := c.exchange(ctx, to, &sent, now.Add(left))
--- a/mock/target.go
+++ b/mock/target.go
@@ -103,6 +103,8 @@
 
 	// Paused holds all work back, Sheds refuses it, Breaks ends connections after the work, Spoils cuts answers short.
 	Paused, Sheds, Breaks, Spoils atomic.Bool
+	// Says are headers that all answers bear.
+	Says atomic.Pointer[http.Header]
 }
 
 // slots is the number of requests that a target works on at once.
@@ -169,6 +171,11 @@
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
+	if says := t.Says.Load(); says != nil {
+		for name, values := range *says {
+			w.Header()[name] = values
+		}
+	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != t.ID {
 		w.Header().Set("X-Instance-Id", t.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -235,3 +242,10 @@
 	}
 	return parts[0], parts[1], Signature(parts[1], parts[0], id) == signature
 }
+
+// Arrivals returns the number of requests that came to a target.
+func (l *Ledger) Arrivals(target string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.arrivals[target])
+}
