--- a/coord/coord.go
+++ b/coord/coord.go
@@ -61,7 +61,7 @@
 	// version is the newest configuration that an answer of this host came from.
 	version atomic.Uint64
 	// few says that this host had few requests lately.
-	few atomic.Bool
+	few   atomic.Bool
 	loans *loans
 }
 
