relay, platform, pool: targets say that they leave, and for how long they want nothing

A target that leaves says so in its answers (Server-Leaving), and one that refuses may say for how long it wants nothing (Retry-After).

Both are taken as soon as the head of an answer is read, so that an answer that breaks off counts, for one start of the target. A target that leaves gets no sub-request, no hedge, no spare connection and no wait for a connection; only where nothing else holds a shard does it go on, for 0.8 of the bound. It stays so whatever the store shows of the same start: an entry may have been written before. Hosts learn it of each other, with answers and views. A quiet target gets nothing until its time is over, a little later on each host, then one sub-request at once for a second; a query that lacks shards because of it is refused at once with the earliest time to come back. Values without meaning are ignored, counted and logged.

A refused group of shards says whether targets were asked; then its shards are paid for when they are asked for again. A group may lack as many shards as the whole query, which alone decides what is enough: before, it was given up on by the least share of its own shards.

An answer's head is bounded to 256 KB: it could fill a host's memory.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	Operator, OperatorRevision uint64
 	Targets, TargetsRevision   uint64
 	Members                    uint64
+	// Leavers are the targets that are known to have said that they leave.
+	Leavers []string
 }
 
 // State is what a host tells another: the parts that differ, and how old its knowledge is.
@@ -39,6 +42,8 @@
 	Targets  Packed
 	Changes  *roster.Changes
 	Members  []coord.Member
+	// Leavers are targets that have said that they leave and that the other host didn't name.
+	Leavers []roster.Leaver
 	// OperatorAge and TargetsAge are the times since the views were last known to show all changes.
 	OperatorAge, TargetsAge time.Duration
 }
@@ -64,6 +69,9 @@
 	// Members returns the hosts that are known, SetMembers replaces them.
 	Members    func() []coord.Member
 	SetMembers func([]coord.Member)
+	// Leavers returns the targets that have said that they leave, Learn takes those that another host knows of; both may be nil.
+	Leavers func() []roster.Leaver
+	Learn   func([]roster.Leaver)
 }
 
 // Fed reports whether another host's views stand for the store's.
@@ -87,7 +95,7 @@
 // readOne reads from the first source that is fresh.
 func (f *Follower) readOne(ctx context.Context, feed Feed) bool {
 	for _, m := range feed.Sources() {
-		known := f.known(feed.Members())
+		known := f.knownOf(feed)
 		limited, cancel := f.clock.WithTimeout(ctx, feedWait+feedGrace)
 		s, err := feed.Read(limited, m, known)
 		cancel()
@@ -133,7 +141,7 @@
 
 // readSpares asks all spares at once, since any of them may be away as well.
 func (f *Follower) readSpares(ctx context.Context, feed Feed, spares []coord.Member) {
-	known := f.known(feed.Members())
+	known := f.knownOf(feed)
 	limited, cancel := f.clock.WithTimeout(ctx, feedWait+feedGrace)
 	defer cancel()
 	var all sync.WaitGroup
@@ -155,6 +163,17 @@
 	all.Wait()
 }
 
+// knownOf returns what this host knows, with what targets have said of themselves.
+func (f *Follower) knownOf(feed Feed) Known {
+	k := f.known(feed.Members())
+	if feed.Leavers != nil {
+		for _, l := range feed.Leavers() {
+			k.Leavers = append(k.Leavers, l.ID)
+		}
+	}
+	return k
+}
+
 func (f *Follower) known(members []coord.Member) Known {
 	o, v := f.operator.Load(), f.View()
 	return Known{
@@ -183,6 +202,9 @@
 	if len(s.Members) > 0 {
 		feed.SetMembers(s.Members)
 	}
+	if len(s.Leavers) > 0 && feed.Learn != nil {
+		feed.Learn(s.Leavers)
+	}
 	later(&f.operatorRead, f.stamp(now.Add(-s.OperatorAge)))
 	later(&f.targetsRead, f.stamp(now.Add(-s.TargetsAge)))
 }
@@ -284,16 +306,26 @@
 type Service struct {
 	follower *Follower
 	members  func() []coord.Member
+	leavers  func() []roster.Leaver
 }
 
-// NewService returns the calls that a follower answers.
-func NewService(f *Follower, members func() []coord.Member) *Service {
-	return &Service{follower: f, members: members}
+// NewService returns the calls that a follower answers, which tell of members and of targets that have said that they leave.
+func NewService(f *Follower, members func() []coord.Member, leavers func() []roster.Leaver) *Service {
+	return &Service{
+		follower: f,
+		members:  members,
+		leavers:  leavers,
+	}
 }
 
 // Read answers what differs from what the caller knows.
 func (s *Service) Read(known Known, reply *State) error {
 	*reply = s.follower.Tell(known, s.members)
+	for _, l := range s.leavers() {
+		if !slices.Contains(known.Leavers, l.ID) {
+			reply.Leavers = append(reply.Leavers, l)
+		}
+	}
 	return nil
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -841,7 +841,7 @@
 		loops.Go(func() {
 			for ctx.Err() == nil {
 				var known bool
-				if err := NewService(own, nil).Greet(coord.Member{Name: "other"}, &known); err != nil {
+				if err := NewService(own, nil, nil).Greet(coord.Member{Name: "other"}, &known); err != nil {
 					t.Error(err)
 				}
 				time.Sleep(500 * time.Millisecond)
--- a/front/fleet.go
+++ b/front/fleet.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	s := wire.NewServer(l)
-	if err := s.Register(follow.Views, follow.NewService(f.follow, f.coord.Members)); err != nil {
+	if err := s.Register(follow.Views, follow.NewService(f.follow, f.coord.Members, f.engine.Leavers)); err != nil {
 		return err
 	}
 	group.Add(s.Serve, func(error) { s.Close() })
@@ -70,6 +70,8 @@
 		Spares:     f.coord.Spares,
 		Members:    f.coord.Members,
 		SetMembers: f.coord.SetMembers,
+		Leavers:    f.engine.Leavers,
+		Learn:      f.engine.Learn,
 	}
 }
 
@@ -150,7 +152,9 @@
 func (f *Front) usedAddresses() map[netip.AddrPort]bool {
 	used := map[netip.AddrPort]bool{}
 	for _, e := range f.follow.View().Entries {
-		used[e.Address] = true
+		if !e.Draining && !f.engine.Leaving(e) {
+			used[e.Address] = true
+		}
 	}
 	for _, m := range f.coord.Members() {
 		used[m.Requests] = true
--- a/front/front.go
+++ b/front/front.go
@@ -102,7 +102,7 @@
 			Cores:      c.Cores,
 		},
 		Local:  func(ctx context.Context, r *relay.Request) *relay.Answer { return f.engine.Handle(ctx, r) },
-		Send:   platform.Forward(f.pool),
+		Send:   f.forward,
 		Ping:   f.ping,
 		Config: f.follow.Config,
 		View:   f.follow.View,
@@ -120,6 +120,7 @@
 		Slack:  c.Slack,
 		Heat:   c.Heat,
 		Margin: c.Margin,
+		Leave:  c.Leave.D(),
 	}, platform.Egress(f.pool), l.For("relay"), m.Scope.SubScope("relay"))
 	f.engine.SetHelpers(relay.Helpers{
 		Has: f.coord.HasHelper,
@@ -174,6 +175,15 @@
 	return err
 }
 
+// forward sends a request on to another host and takes what that host has heard from targets.
+func (f *Front) forward(ctx context.Context, to coord.Member, r *relay.Request, deadline time.Time) (*relay.Answer, error) {
+	a, err := platform.Forward(f.pool)(ctx, to, r, deadline)
+	if err == nil {
+		f.engine.Learn(a.Leavers)
+	}
+	return a, err
+}
+
 // handle answers a caller; right after a start it waits for what the answer needs, which is sooner than the caller could come back.
 func (f *Front) handle(ctx context.Context, r *relay.Request) *relay.Answer {
 	began := f.clock.Now()
--- a/mock/target.go
+++ b/mock/target.go
@@ -230,6 +230,8 @@
 	// A caller that has left reads nothing.
 	_, _ = w.Write(body)
 	if t.Spoils.Load() {
+		// The head and half of the body are to be on their way; where they can't be sent, the answer breaks off sooner.
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -25,6 +25,8 @@
 	bufferSize = 4 << 10
 	// maxBody bounds an answer's body; it is far above what a single request may bring.
 	maxBody = 64 << 20
+	// maxHead bounds an answer's head and what its framing adds to a body, in bytes.
+	maxHead = 256 << 10
 	// maxStale bounds the number of answers to earlier requests that are passed over on one connection.
 	maxStale = 4
 	// idleLimit ends a connection that nothing used, below the usual time after which a server closes it.
@@ -53,6 +55,8 @@
 	Wanted func() bool
 	// Matches reports whether an answer belongs to this request; others are passed over.
 	Matches func(http.Header) bool
+	// Head is told of the head of each final answer that is read, before its body; nil means nobody is.
+	Head func(status int, h http.Header)
 }
 
 // Response is one whole answer.
@@ -101,6 +105,8 @@
 // conn is one connection; one request owns it at a time.
 type conn struct {
 	net.Conn
+	// bound ends an answer that is too long, reader reads through it.
+	bound  *bound
 	reader *bufio.Reader
 	// until is when the connection mustn't be used any more.
 	until time.Time
@@ -165,7 +171,7 @@
 		return nil, false, err
 	}
 	for range maxStale {
-		response, reusable, err = read(c.reader, r.Method)
+		response, reusable, err = read(c, r)
 		if err != nil {
 			return nil, false, err
 		}
@@ -195,15 +201,40 @@
 	return []byte(b.String())
 }
 
-func read(b *bufio.Reader, method string) (*Response, bool, error) {
+// bound reads up to a number of bytes.
+type bound struct {
+	from io.Reader
+	left int
+}
+
+// errTooLong says that an answer's head has no end within what is read of it.
+var errTooLong = fmt.Errorf("the answer's head has more than %d bytes", maxHead)
+
+// Read reads from the connection.
+func (b *bound) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.from.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+func read(c *conn, r Request) (*Response, bool, error) {
+	// Interim answers count to the head of the final one.
+	c.bound.left = maxHead
 	for {
-		resp, err := http.ReadResponse(b, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, false, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
+		if r.Head != nil {
+			r.Head(resp.StatusCode, resp.Header)
+		}
+		c.bound.left = maxBody + maxHead
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 		switch {
 		case err != nil:
@@ -243,7 +274,8 @@
 }
 
 func newConn(n net.Conn) *conn {
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferSize)}
+	b := &bound{from: n}
+	return &conn{Conn: n, bound: b, reader: bufio.NewReaderSize(b, bufferSize)}
 }
 
 func (p *Pool) connect(ctx context.Context, address netip.AddrPort, timeout time.Duration) (net.Conn, error) {
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -120,8 +120,9 @@
 // room returns the number of sub-requests at once that this host may have at a request's services: its share of what their targets work on in good time.
 func (q *run) room() float64 {
 	total := 0.0
+	now := q.engine.clock.Now()
 	for _, p := range q.parts {
-		for _, t := range q.view.Services[p.service] {
+		for _, t := range q.engine.serving(p.service, now) {
 			total += float64(depth * t.Slots)
 		}
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -40,8 +40,8 @@
 	var best *roster.Entry
 	var least time.Duration
 	// A target that has left since the request began is no longer there.
-	for _, t := range e.beliefs.View().Services[p.service] {
-		if !q.route.Allows(t.Region) || e.beliefs.Out(t.Datacentre) || !e.cold.open(t, service, now) || !may(t) {
+	for _, t := range e.serving(p.service, now) {
+		if e.returning(t, now) || !q.route.Allows(t.Region) || e.beliefs.Out(t.Datacentre) || !e.cold.open(t, service, now) || !may(t) {
 			continue
 		}
 		if estimate := e.rank(t).Estimate(now, t.Slots); best == nil || estimate < least {
@@ -54,7 +54,7 @@
 // serves reports whether a target that was chosen may still get work.
 func (e *Engine) serves(t *roster.Entry) bool {
 	known := e.beliefs.View().Entries[t.ID]
-	return known != nil && !known.Draining && !e.beliefs.Out(t.Datacentre)
+	return known != nil && !known.Draining && !e.beliefs.Out(t.Datacentre) && !e.bars(t, e.clock.Now())
 }
 
 // lastHedge returns the latest time at which another target of a part can still be asked to answer by the objective, or a time after it where that is too soon to tell anything.
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -41,6 +41,8 @@
 	// Heat and Margin bound the rate to a cold target: its stated rate times Heat plus Margin.
 	Heat   float64
 	Margin float64
+	// Leave is the time within which a target that leaves gets no more work.
+	Leave time.Duration
 }
 
 // Engine carries requests.
@@ -58,6 +60,7 @@
 	load    load
 	cold    *coldGate
 	probes  probes
+	said    said
 	blocked chan struct{}
 	log     *zap.Logger
 	scope   tally.Scope
@@ -106,6 +109,8 @@
 	defer q.finish()
 	a := q.answer()
 	a.Version = config.Version
+	a.Offered = q.offered
+	a.Leavers = e.Leavers()
 	a.Took = e.clock.Since(start)
 	e.report(q, a)
 	return a
@@ -132,6 +137,8 @@
 	view := e.beliefs.View()
 	e.ranks.Keep(func(id string) bool { return view.Entries[id] != nil })
 	e.cold.keep(func(id string) bool { return view.Entries[id] != nil })
+	e.said.forget(view, e.clock.Now())
+	e.gaugeSaid(e.scope)
 	if c := e.beliefs.Config(); c != nil {
 		known := func(s string) bool {
 			_, found := c.Services[s]
--- a/relay/group.go
+++ b/relay/group.go
@@ -95,9 +95,16 @@
 		now := e.clock.Now()
 		for _, p := range g.parts {
 			p.elsewhere = false
-			if to := q.choose(p, now); to != nil {
+			p.offered = g.answer != nil && g.answer.Offered
+			switch to := q.choose(p, now); {
+			case to == nil:
+				q.lose(p)
+			case !p.offered:
 				q.begin(p, to, now)
-			} else {
+			case q.pay(p):
+				q.retries++
+				q.launch(p, to, now)
+			default:
 				q.lose(p)
 			}
 		}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -26,7 +26,7 @@
 	}
 	f := fault.New(fault.Failed, "%d of %d shards can't be had, %d are needed; last: %s", q.lost, len(q.parts), q.needed, q.cause)
 	if !q.mayHaveRun() {
-		f = fault.New(fault.Overload, "no target took the request; last: %s", q.cause)
+		f = q.afterQuiet(fault.New(fault.Overload, "no target took the request; last: %s", q.cause), q.engine.clock.Now())
 	}
 	return fail(f)
 }
--- a/relay/report.go
+++ b/relay/report.go
@@ -68,15 +68,21 @@
 	e.write(q, a, outcome, now)
 }
 
-// noteLeaving counts and logs a sub-request to a target that this host knows to be draining, gone or out of service.
+// noteLeaving counts and logs a sub-request to a target that this host knows to be draining, gone or out of service, or that has said so itself.
 func (q *run) noteLeaving(f *flight) {
 	e := q.engine
-	if e.serves(f.to) {
+	origin, age := "store", time.Duration(0)
+	view := e.beliefs.View()
+	switch l, told := e.said.load().of(f.to); {
+	case told:
+		origin, age = l.origin, f.sent.Sub(l.since)
+	case e.serves(f.to):
 		return
+	default:
+		age = f.sent.Sub(view.Read)
 	}
-	view := e.beliefs.View()
-	e.scope.Counter("leaving_sends").Inc(1)
-	e.log.Info("sub-request goes to a target that leaves", zap.String("request", q.request.ID), zap.String("target", f.to.ID), zap.Int64("ms", f.sent.Sub(q.start).Milliseconds()), zap.Uint64("chosen_from", q.view.Revision), zap.Uint64("roster_revision", view.Revision))
+	e.scope.Tagged(map[string]string{"origin": origin}).Counter("leaving_sends").Inc(1)
+	e.log.Info("sub-request goes to a target that leaves", zap.String("request", q.request.ID), zap.String("target", f.to.ID), zap.String("origin", origin), zap.Int64("age_ms", age.Milliseconds()), zap.Int64("ms", f.sent.Sub(q.start).Milliseconds()), zap.Uint64("chosen_from", q.view.Revision), zap.Uint64("roster_revision", view.Revision))
 }
 
 func (e *Engine) write(q *run, a *Answer, outcome string, now time.Time) {
--- a/relay/run.go
+++ b/relay/run.go
@@ -61,8 +61,8 @@
 	cancel context.CancelFunc
 	// admitted says that there was room for the request.
 	admitted bool
-	// ran says that something of the request may have run.
-	ran             bool
+	// ran says that something of the request may have run, offered that sub-requests came to targets.
+	ran, offered    bool
 	hedges, retries int
 	// times are those of the replies, sheds the number of refusals by targets.
 	times  []time.Duration
@@ -86,6 +86,8 @@
 	retryAt time.Time
 	// elsewhere says that another host answers for the part.
 	elsewhere bool
+	// offered says that another host has asked targets for the part, which refused it.
+	offered bool
 	// full says that a target was left out because this host has enough under way there.
 	full bool
 }
@@ -140,7 +142,7 @@
 		}
 	}
 	if matched.Fanout() {
-		q.needed = matched.Needed(len(q.parts))
+		q.needed = q.least()
 	}
 	q.results = make(chan result, len(q.parts)*(max(matched.Attempts, 1)+dialTries+repeats+1))
 	q.groups = make(chan *group, len(q.parts))
@@ -148,6 +150,12 @@
 	return q
 }
 
+// least returns the number of parts without which the whole query can't be answered: other hosts ask for the rest of the shards, so that a group may lack as many as the whole.
+func (q *run) least() int {
+	whole := len(q.route.Shards)
+	return max(len(q.parts)-whole+q.route.Needed(whole), 1)
+}
+
 // dialTries is the number of targets that can't be reached and don't count as attempts.
 const dialTries = 4
 
@@ -192,7 +200,8 @@
 		}
 	}
 	if reachable < q.needed {
-		return fail(fault.New(fault.NoReplica, "%d of %d shards have a target, %d are needed", reachable, len(q.parts), q.needed))
+		f := fault.New(fault.NoReplica, "%d of %d shards have a target, %d are needed", reachable, len(q.parts), q.needed)
+		return fail(q.afterQuiet(f, now))
 	}
 	if lively := q.lively(chosen, now); lively < q.needed && !e.probes.turn(groupOf(q.route, q.parts[0]), now) {
 		e.scope.Counter("silent_refusals").Inc(1)
@@ -327,6 +336,7 @@
 		notRun = r.reply.NotRun || r.reply.Misplaced
 	}
 	q.ran = q.ran || !notRun
+	q.offered = q.offered || lost == nil || lost.Sent
 	if notRun && r.reply != nil {
 		q.sheds++
 	}
@@ -416,7 +426,7 @@
 
 // pay takes a sub-request from the budget unless none has reached a target of the part yet.
 func (q *run) pay(p *part) bool {
-	return p.reached == 0 || q.engine.budgets.spend(p.service)
+	return (p.reached == 0 && !p.offered) || q.engine.budgets.spend(p.service)
 }
 
 // tick asks again for the parts that are overdue or whose time to be repeated has come.
@@ -512,6 +522,7 @@
 		Fresh:    !q.route.Idempotent,
 		Keep:     e.keep(q.config.Services[p.service]),
 		Wanted:   func() bool { return e.serves(to) },
+		Heard:    func(w Word) { e.hear(to, w) },
 	}
 	go func() {
 		reply, err := e.send(q.work, to, q.request, sub)
--- a/relay/types.go
+++ b/relay/types.go
@@ -74,6 +74,10 @@
 	Version uint64
 	// Took is the time that the answer took at the host that made it.
 	Took time.Duration
+	// Offered says of a refusal that sub-requests came to targets, which refused them.
+	Offered bool
+	// Leavers are targets that have said that they leave, as far as the host that answers knows.
+	Leavers []roster.Leaver
 	// Aside says that the host which was asked doesn't want the request: it is starting, leaving or behind.
 	Aside bool
 }
@@ -89,6 +93,8 @@
 	Keep int
 	// Wanted reports whether the target may still get the sub-request, which is asked when there is a connection for it.
 	Wanted func() bool
+	// Heard takes what the target says of itself, as soon as the head of an answer is read.
+	Heard func(Word)
 }
 
 // Helpers are other hosts that ask the shards of their data centre and merge what comes, so that only the merged records travel.
--- a/relay/warm.go
+++ b/relay/warm.go
@@ -42,7 +42,7 @@
 
 // unconnected returns some targets that may get hedges and have no connection.
 func (e *Engine) unconnected(ready func(netip.AddrPort) bool) []*roster.Entry {
-	config, view, now := e.beliefs.Config(), e.beliefs.View(), e.clock.Now()
+	config, now := e.beliefs.Config(), e.clock.Now()
 	if config == nil {
 		return nil
 	}
@@ -55,7 +55,7 @@
 				continue
 			}
 			seen[s] = true
-			for _, t := range view.Services[s] {
+			for _, t := range e.serving(s, now) {
 				if len(found) == warmMost {
 					return found
 				}
