rank: a pause doesn't make a target's hedges late

Cause: all requests that a pause holds up taught the target's average and deviation, before its pauses were known to be regular, and a target that wasn't known was expected to vary by half of its distance. Ruled out: no budget (it was there in most cases), the other target pausing too (its estimate says so; it remains for some).

Change: of requests that are held up for up to a pause's length one counts, as a late answer; longer ones are a slow target's. TestPauseDoesNotDelayHedges failed first (203 to 443 ms instead of below 60); TestTargetThatTurnsSlow holds what must stay.

--- a/rank/rank.go
+++ b/rank/rank.go
@@ -22,8 +22,12 @@
 	// deadFirst and deadMost bound the time for which a target that can't be reached is left out.
 	deadFirst = 500 * time.Millisecond
 	deadMost  = 4 * time.Second
+	// priorDev bounds the deviation that is expected of a target that isn't known: that of the work, which the distance adds nothing to.
+	priorDev = 8 * time.Millisecond
 	// devWeight is the number of mean deviations above the average from which a request is overdue.
 	devWeight = 3
+	// mostPause bounds the length of a pause: requests that are held up for longer than one are at a slow target.
+	mostPause = 250 * time.Millisecond
 	// leastSamples is the number of latencies from which one that is far above the others is taken for a pause.
 	leastSamples = 3
 	// silentLeast and silentMeans bound the time without any answer after which a target counts as silent: it covers pauses, and work that takes several times as long as usual.
@@ -61,9 +65,11 @@
 	unanswered time.Time
 	misses     int
 	// usual is the moving average of the latency of whole answers only.
-	usual  float64
-	rhythm *rhythm
-	pauses pauses
+	usual float64
+	// stalled is the start of the first request that was held up since the last one that wasn't, zero where none was.
+	stalled time.Time
+	rhythm  *rhythm
+	pauses  pauses
 }
 
 // Table holds the ranks by target.
@@ -83,7 +89,7 @@
 		prior:   prior,
 		mean:    float64(prior),
 		usual:   float64(prior),
-		dev:     float64(prior) / 2,
+		dev:     float64(min(prior/2, priorDev)),
 		flights: map[*Flight]struct{}{},
 		rhythm:  &t.rhythm,
 	}
@@ -154,13 +160,16 @@
 	}
 	switch o {
 	case Answered:
-		r.usual += weight * (float64(took) - r.usual)
 		if took > r.overdue(now) && r.samples >= leastSamples {
 			r.pause(now, took, time.Duration(r.mean))
 		}
+		told, counts := r.typical(f.start, now, took)
+		if counts {
+			r.usual += weight * (float64(told) - r.usual)
+		}
 		// What a regular pause adds says nothing of the time that the target takes between them.
-		if !r.pauses.regular || now.Sub(r.pauses.last) > samePause {
-			r.learn(now, took)
+		if counts && (!r.pauses.regular || now.Sub(r.pauses.last) > samePause) {
+			r.learn(now, told)
 		}
 		r.fail(now, 0)
 		r.dead, r.backoff = time.Time{}, 0
@@ -171,16 +180,36 @@
 		r.backoff = min(max(2*r.backoff, deadFirst), deadMost)
 		r.dead = now.Add(r.backoff)
 	case Dropped:
-		if float64(took) > r.mean {
-			r.learn(now, took)
+		if told, counts := r.typical(f.start, now, took); counts && float64(took) > r.mean {
+			r.learn(now, told)
 		}
 	}
 }
 
+// typical returns what a latency says of the target's usual one, and whether it says anything; the lock is held.
+//
+// A pause holds up all requests at the target, which would make it look slow and its hedges late for seconds: of those, one counts, as a late answer.
+func (r *Rank) typical(began, now time.Time, took time.Duration) (told time.Duration, counts bool) {
+	overdue := r.overdue(now)
+	first := r.stalled.IsZero()
+	switch {
+	case took <= overdue:
+		r.stalled = time.Time{}
+		return took, true
+	case first:
+		r.stalled = began
+		return overdue, r.samples > 0
+	case began.Sub(r.stalled) <= mostPause:
+		return 0, false
+	default:
+		return took, true
+	}
+}
+
 func (r *Rank) learn(now time.Time, took time.Duration) {
 	d := float64(took)
 	if r.samples == 0 {
-		r.mean, r.dev = d, d/2
+		r.mean = d
 	} else {
 		mean := r.current(now)
 		r.dev += weight * (math.Abs(d-mean) - r.dev)
--- a/rank/rank_test.go
+++ b/rank/rank_test.go
@@ -96,3 +96,43 @@
 	require.False(t, idle.Silent(start.Add(time.Hour)), "one request proves nothing")
 	require.True(t, func() bool { idle.Begin(start); return idle.Silent(start.Add(time.Hour)) }())
 }
+
+// TestPauseDoesNotDelayHedges guards against hedges that are sent too late to help for seconds after a target has paused once, before its pauses are known to be regular.
+func TestPauseDoesNotDelayHedges(t *testing.T) {
+	const pause, tolerable = 200 * time.Millisecond, 60 * time.Millisecond
+	for _, one := range []struct {
+		name  string
+		after int
+		end   Outcome
+	}{
+		{name: "long known", after: 20, end: Answered},
+		{name: "hardly known", after: 1, end: Answered},
+		{name: "not known", after: 0, end: Answered},
+		{name: "given up", after: 20, end: Dropped},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			var table Table
+			r := table.Of("a", time.Time{}, prior)
+			now := feed(r, start, one.after, prior, Answered)
+			held := []*Flight{r.Begin(now)}
+			for range 3 {
+				now = now.Add(pause / 4)
+				held = append(held, r.Begin(now))
+			}
+			now = now.Add(pause / 4)
+			for _, f := range held {
+				r.End(f, now, one.end)
+			}
+			require.Less(t, r.Overdue(now), tolerable)
+		})
+	}
+}
+
+// TestTargetThatTurnsSlow is taken for slow after a few answers, so that not every request to it is hedged.
+func TestTargetThatTurnsSlow(t *testing.T) {
+	var table Table
+	r := table.Of("a", time.Time{}, prior)
+	now := feed(r, start, 20, prior, Answered)
+	now = feed(r, now, 12, 6*prior, Answered)
+	require.Greater(t, r.Overdue(now), 6*prior)
+}
