coord: a host whose requests come often lends its part for two seconds

Loans say how long they last: ten seconds where requests are rare, two otherwise. TestSharesOfAllHostsAddUp holds over all changes.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -186,11 +186,11 @@
 // Handle answers a caller's request here or at a coordinator.
 func (c *Coord) Handle(ctx context.Context, r *relay.Request) *relay.Answer {
 	now := c.clock.Now()
-	low := c.rate.note(now)
+	low, rare := c.rate.note(now)
 	c.few.Store(low)
 	if low {
 		if others, self := c.Chosen(); !self {
-			if a := c.forward(ctx, r, others, now); a != nil {
+			if a := c.forward(ctx, r, others, rare, now); a != nil {
 				return a
 			}
 		}
@@ -201,7 +201,7 @@
 // Answer answers a request at this host, also one that another host sent on.
 func (c *Coord) Answer(ctx context.Context, r *relay.Request) *relay.Answer {
 	if r.Origin != "" {
-		c.loans.take(r.Origin, r.Share, r.Shards != nil, c.clock.Now())
+		c.loans.take(r.Origin, r.Share, r.ShareFor, r.Shards != nil, c.clock.Now())
 	}
 	least := max(r.Least, c.version.Load())
 	if config := c.Config(); config != nil && config.Version < least {
@@ -212,7 +212,7 @@
 }
 
 // forward sends a request to the best coordinator; it returns nil where this host is to answer itself.
-func (c *Coord) forward(ctx context.Context, r *relay.Request, others []Member, now time.Time) *relay.Answer {
+func (c *Coord) forward(ctx context.Context, r *relay.Request, others []Member, rare bool, now time.Time) *relay.Answer {
 	to, found := c.best(r, others, now)
 	if !found {
 		return nil
@@ -221,12 +221,17 @@
 	if left <= 0 {
 		return nil
 	}
+	lentFor := briefly
+	if rare {
+		lentFor = delegated
+	}
 	sent := *r
 	if config := c.Config(); config != nil {
 		// A coordinator that is behind must not answer by less than this host knows.
 		c.advance(config.Version)
 	}
-	sent.Origin, sent.Least, sent.Reserve, sent.Share = c.Self.Name, c.version.Load(), c.way.reserve(), c.loans.lend(to.Name, c.own(), now)
+	sent.Origin, sent.Least, sent.Reserve, sent.Share = c.Self.Name, c.version.Load(), c.way.reserve(), c.loans.lend(to.Name, c.own(), lentFor, now)
+	sent.ShareFor = lentFor
 	k := c.rank(to)
 	f := k.Begin(now)
 	a, err := c.exchange(ctx, to, &sent, now.Add(left))
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -284,7 +284,7 @@
 		hosts := float64(len(s.coord.Members()))
 		require.InDelta(t, shareOfAll/hosts, s.coord.Share(), 1e-9)
 		for _, name := range []string{"a", "b", "a"} {
-			s.coord.Answer(context.Background(), &relay.Request{Host: "h", Path: "/again/1", Origin: name, Share: shareOfAll / hosts})
+			s.coord.Answer(context.Background(), &relay.Request{Host: "h", Path: "/again/1", Origin: name, Share: shareOfAll / hosts, ShareFor: delegated})
 		}
 		require.InDelta(t, 3*shareOfAll/hosts, s.coord.Share(), 1e-9)
 		time.Sleep(delegated + time.Second)
--- a/coord/helper.go
+++ b/coord/helper.go
@@ -42,7 +42,8 @@
 		return nil, &pool.Error{Err: errSilent}
 	}
 	now := c.clock.Now()
-	r.Origin, r.Least, r.Share = c.Self.Name, r.Version, c.loans.share(to.Name, c.own(), now)
+	r.Origin, r.Least = c.Self.Name, r.Version
+	r.Share, r.ShareFor = c.loans.share(to.Name, c.own(), now)
 	r.Reserve += c.helperWay.reserve()
 	k := c.rank(to)
 	f := k.Begin(now)
--- a/coord/loans.go
+++ b/coord/loans.go
@@ -14,8 +14,10 @@
 	helpedShare = 0.5
 	// delegated is how long a part counts at the host that it was left to, after the last request that brought it.
 	delegated = 10 * time.Second
-	// passedOn is how long it is gone for the host that left it: a coordinator may leave it to a helper at the end of its own time.
-	passedOn = 2*delegated + time.Second
+	// briefly is the same for a host whose requests come often, which may have to answer them itself soon.
+	briefly = 2 * time.Second
+	// onTheWay is added for the host that left it: the request may take that long.
+	onTheWay = time.Second
 	// unknownHosts is the number of hosts that is assumed before any are known.
 	unknownHosts = 32
 )
@@ -78,28 +80,37 @@
 	return len(l.taken) > 0
 }
 
-// take notes what another host leaves to this one, in place of what it left before; last says that it may not be left on.
-func (l *loans) take(from string, part float64, last bool, now time.Time) {
+// take notes what another host leaves to this one for a time, in place of what it left before; last says that it may not be left on.
+func (l *loans) take(from string, part float64, during time.Duration, last bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.taken[from] = loan{part: part, until: now.Add(delegated), last: last}
+	l.taken[from] = loan{
+		part:  part,
+		until: now.Add(min(during, delegated)),
+		last:  last,
+	}
 }
 
-// lend leaves a part of a host's own limits to a coordinator and returns how much.
-func (l *loans) lend(to string, own float64, now time.Time) float64 {
+// lend leaves a part of a host's own limits to a coordinator for a time and returns how much. It is gone for twice that, since the coordinator may leave it to a helper at the end.
+func (l *loans) lend(to string, own float64, during time.Duration, now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	part := lentShare * max(own-sum(l.given, now, without(to)), 0)
-	l.given[to] = loan{part: part, until: now.Add(passedOn)}
+	until := now.Add(2*during + onTheWay)
+	if before, found := l.given[to]; found && before.until.After(until) {
+		until = before.until
+	}
+	l.given[to] = loan{part: part, until: until}
 	return part
 }
 
-// share leaves a part of what a coordinator holds to a helper and returns how much.
-func (l *loans) share(to string, own float64, now time.Time) float64 {
+// share leaves a part of what a coordinator holds to a helper for a time and returns how much.
+func (l *loans) share(to string, own float64, now time.Time) (part float64, during time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	during = briefly
 	taken := sum(l.taken, now, func(_ string, k loan) bool { return !k.last })
-	part := helpedShare * max(own+taken-sum(l.given, now, without(to)), 0)
-	l.given[to] = loan{part: part, until: now.Add(passedOn)}
-	return part
+	part = helpedShare * max(own+taken-sum(l.given, now, without(to)), 0)
+	l.given[to] = loan{part: part, until: now.Add(during + onTheWay)}
+	return part, during
 }
--- a/coord/rate_test.go
+++ b/coord/rate_test.go
@@ -14,7 +14,7 @@
 	play := func(perSecond int, d time.Duration) (few bool) {
 		gap := time.Second / time.Duration(perSecond)
 		for range int(d / gap) {
-			few = r.note(now)
+			few, _ = r.note(now)
 			now = now.Add(gap)
 		}
 		return few
--- a/relay/types.go
+++ b/relay/types.go
@@ -32,6 +32,8 @@
 	Least uint64
 	// Share is the part of the limits over all hosts that the origin leaves to this host.
 	Share float64
+	// ShareFor is the time for which it does.
+	ShareFor time.Duration
 	// Shards are the places in the route's list of those that are to be asked, with Version as the configuration that they are from; none means all.
 	Shards  []int
 	Version uint64
