--- a/front/front.go
+++ b/front/front.go
@@ -92,6 +92,9 @@
 		AwaitTargets:  store.AwaitTargets,
 	}, c.News(), c.Lapse(), l.For("follow"), m.Scope.SubScope("follow"))
 	store.Unreadable = f.follow.Unreadable
+	store.Called = func(call string) {
+		m.Scope.SubScope("store").Tagged(map[string]string{"call": call}).Counter("calls").Inc(1)
+	}
 	f.coord = coord.New(clock, coord.Parts{
 		Self: coord.Member{
 			Name:       c.Name,
