follow, front: hosts ask the store after those that feed them

Callers saw nothing; the store did: 295 hosts that start together made 4,300 calls in their first seconds, and all of them call a store that is away as often as each would alone.

Cause: a host is fed by a coordinator only once it knows one; until then it follows the store as if it were alone, and so does each host whose coordinator no longer hears of the store.

A host that starts asks first who the hosts are and then those that feed others; it asks the store where that brings nothing in 200 to 300 ms (when the fleet starts for the first time: 4 to 6 s, callers come later). Hosts whose coordinators are behind come one after the other, within what the bound on news leaves; a store that gave no answer is tried again by one host of a data centre every 100 ms.

--- a/cmds/metrics_test.go
+++ b/cmds/metrics_test.go
@@ -47,6 +47,8 @@
 			made["relay_"+name] = true
 		case "cut_off":
 			made["front_"+name] = true
+		case "calls":
+			made["store_"+name] = true
 		default:
 			made["follow_"+name] = true
 		}
--- a/conf/front.go
+++ b/conf/front.go
@@ -32,6 +32,8 @@
 	Metrics int `json:"metrics" default:"9190" min:"1" max:"65535" doc:"port of the metrics page, at the callers' address"`
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `json:"store" doc:"address of the platform's store"`
+	// First says that the whole fleet starts for the first time.
+	First bool `json:"first" doc:"whether the whole fleet starts for the first time, so that its hosts learn of each other before they read the store"`
 	// Grace is the time between the signal to stop and the end of the process by force.
 	Grace units.Duration `json:"grace" default:"6s" min:"1s" max:"10m" doc:"time from the signal to stop until the process is killed"`
 	// Apply is the time within which a change of the configuration is in force.
--- a/coord/coord.go
+++ b/coord/coord.go
@@ -221,17 +221,7 @@
 	if left <= 0 {
 		return nil
 	}
-	lentFor := briefly
-	if rare {
-		lentFor = delegated
-	}
-	sent := *r
-	if config := c.Config(); config != nil {
-		// A coordinator that is behind must not answer by less than this host knows.
-		c.advance(config.Version)
-	}
-	sent.Origin, sent.Least, sent.Reserve, sent.Share = c.Self.Name, c.version.Load(), c.way.reserve(), c.loans.lend(to.Name, c.own(), lentFor, now)
-	sent.ShareFor = lentFor
+	sent := c.sentOn(r, to, rare, now)
 	k := c.rank(to)
 	f := k.Begin(now)
 	a, err := c.exchange(ctx, to, &sent, now.Add(left))
@@ -284,6 +274,22 @@
 	return &relay.Answer{Fault: fault.New(fault.Unknown, "coordinator %s gave no answer", to.Name)}
 }
 
+// sentOn returns a request as it is sent to a coordinator.
+func (c *Coord) sentOn(r *relay.Request, to Member, rare bool, now time.Time) relay.Request {
+	if config := c.Config(); config != nil {
+		// A coordinator that is behind must not answer by less than this host knows.
+		c.advance(config.Version)
+	}
+	sent := *r
+	sent.Origin, sent.Least, sent.Reserve = c.Self.Name, c.version.Load(), c.way.reserve()
+	sent.ShareFor = briefly
+	if rare {
+		sent.ShareFor = delegated
+	}
+	sent.Share = c.loans.lend(to.Name, c.own(), sent.ShareFor, now)
+	return sent
+}
+
 // errSilent says that a coordinator doesn't answer a question that needs no work.
 var errSilent = errors.New("the coordinator is silent")
 
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -81,9 +81,11 @@
 
 // RunFeed reads the views of other hosts until the context ends.
 func (f *Follower) RunFeed(ctx context.Context, feed Feed) error {
+	f.takeTurn(ctx, feed)
 	for ctx.Err() == nil {
 		if !f.readOne(ctx, feed) {
 			if f.fed.Swap(0) != 0 {
+				f.giveWay(turnEach, turnMost)
 				f.log.Info("no host's views can be had, reading the store")
 			}
 			f.pause(ctx)
@@ -99,6 +101,9 @@
 		limited, cancel := f.clock.WithTimeout(ctx, feedWait+feedGrace)
 		s, err := feed.Read(limited, m, known)
 		cancel()
+		if err != nil && ctx.Err() != nil {
+			return false
+		}
 		if err != nil {
 			f.scope.Counter("feed_failures").Inc(1)
 			f.log.Info("views of a host can't be had", zap.String("from", m.Name), zap.Error(err))
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -60,6 +60,12 @@
 	away atomic.Bool
 	// targetsAt is the time of the last reading of the targets; only their loop uses it.
 	targetsAt time.Time
+	// crowd is what is known of the hosts that need the same news; turn is closed when this host may ask the store after its start, nil where it needn't wait, and turnLimit bounds that wait.
+	crowd     Crowd
+	turn      chan struct{}
+	turnLimit time.Duration
+	// waitUntil is the time until which the store is left to other hosts.
+	waitUntil atomic.Int64
 	// settle is the time until the next call for changes of targets after one that brought some.
 	settle time.Duration
 	// lapse is the shortest outage of the store in which entries of targets lapse.
@@ -149,8 +155,9 @@
 
 // RunOperator follows the operator until the context ends.
 func (f *Follower) RunOperator(ctx context.Context) error {
+	f.awaitTurn(ctx)
 	for ctx.Err() == nil {
-		if f.Fed() {
+		if f.Fed() || f.waits() {
 			f.pause(ctx)
 			continue
 		}
@@ -248,10 +255,11 @@
 //
 // A reading may be old, so it is only what changes lead on from: each call after it brings all changes since the last, however old that was.
 func (f *Follower) RunTargets(ctx context.Context) error {
+	f.awaitTurn(ctx)
 	following := false
 	for ctx.Err() == nil {
 		switch {
-		case f.Fed():
+		case f.Fed() || f.waits():
 			following = false
 			f.pause(ctx)
 		case following:
@@ -430,6 +438,7 @@
 
 func (f *Follower) lost(what string, err error) {
 	f.scope.Counter("store_failures").Inc(1)
+	f.giveWay(retryEach, retryMost)
 	if !f.away.Swap(true) {
 		f.log.Warn("store can't be reached", zap.String("reading", what), zap.Error(err))
 	}
--- a/front/fleet.go
+++ b/front/fleet.go
@@ -21,6 +21,8 @@
 	renewPeriod = 6 * time.Second
 	// membersPeriod is the time between two readings of the hosts, and that between two tries to register.
 	membersPeriod = 2 * time.Second
+	// firstMembers is the time after which a fleet that starts for the first time knows itself: all its hosts have registered.
+	firstMembers = 1200 * time.Millisecond
 	// greetPeriod is the time between two greetings: a host that has started is greeted within about a second, as several greet it.
 	greetPeriod = time.Second
 	// pingTimeout is how long a host may take for an answer that needs no work: two ways between regions and a busy processor.
@@ -99,22 +101,54 @@
 func (f *Front) register(ctx context.Context) error {
 	var lease uint64
 	var renewed time.Time
-	for {
+	if !f.conf.First {
+		// Those that feed this host are the first that it needs.
+		f.readMembers(ctx)
+	}
+	for first := f.conf.First; ; first = false {
 		lease, renewed = f.keepEntry(ctx, lease, renewed)
-		if !f.follow.Fed() {
-			if all, err := f.store.Members(ctx); err == nil {
-				f.follow.Answered()
-				f.coord.SetMembers(all)
-			} else {
-				f.log.Debug("hosts can't be read", zap.Error(err))
-			}
+		wait := membersPeriod
+		switch {
+		case first:
+			wait = firstMembers
+		case !f.follow.Fed():
+			f.readMembers(ctx)
 		}
-		if f.clock.Sleep(ctx, membersPeriod) != nil {
+		if f.clock.Sleep(ctx, wait) != nil {
 			return nil
 		}
 	}
 }
 
+func (f *Front) readMembers(ctx context.Context) {
+	all, err := f.store.Members(ctx)
+	if err != nil {
+		f.log.Debug("hosts can't be read", zap.Error(err))
+		return
+	}
+	f.follow.Answered()
+	f.coord.SetMembers(all)
+}
+
+// crowd tells which hosts need the same news as this one.
+func (f *Front) crowd() follow.Crowd {
+	return follow.Crowd{
+		Reads: func() bool {
+			others, self := f.coord.Chosen()
+			return self || (len(others) == 0 && len(f.coord.Members()) > 0)
+		},
+		Size: func() int {
+			n := 0
+			for _, m := range f.coord.Members() {
+				if m.Datacentre == f.conf.Datacentre {
+					n++
+				}
+			}
+			return max(n, 1)
+		},
+	}
+}
+
 // keepEntry registers this host or renews its entry; a host that is leaving takes it back.
 func (f *Front) keepEntry(ctx context.Context, lease uint64, renewed time.Time) (uint64, time.Time) {
 	now := f.clock.Now()
--- a/front/front.go
+++ b/front/front.go
@@ -95,6 +95,7 @@
 	store.Called = func(call string) {
 		m.Scope.SubScope("store").Tagged(map[string]string{"call": call}).Counter("calls").Inc(1)
 	}
+	f.follow.SetCrowd(f.crowd(), c.First)
 	f.coord = coord.New(clock, coord.Parts{
 		Self: coord.Member{
 			Name:       c.Name,
