follow, front: one call at a time tells whether the store is back

Targets and registration wait until the operator's part can be read. TestStoreThatIsAwayIsAskedOnce failed first.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -26,6 +26,8 @@
 	mostSettle  = time.Second
 	// startLimit is the time after a start within which a store that is well has given configuration and targets, also to a host with a fifth of a core.
 	startLimit = 300 * time.Millisecond
+	// refusedLook is the time between two looks whether the operator's part can be read again.
+	refusedLook = 20 * time.Millisecond
 	// retryPeriod is the time between two tries while the store gives no answer.
 	retryPeriod = 400 * time.Millisecond
 )
@@ -56,6 +58,8 @@
 	hold time.Duration
 	held atomic.Pointer[held]
 
+	// refused says that the last reading of the operator's part failed.
+	refused atomic.Bool
 	// away says that the store gave no answer lately.
 	away atomic.Bool
 	// targetsAt is the time of the last reading of the targets; only their loop uses it.
@@ -163,6 +167,7 @@
 		}
 		sent := f.clock.Now()
 		o, err := f.store.Operator(ctx)
+		f.refused.Store(err != nil)
 		if err != nil {
 			f.lost("operator", err)
 			f.pause(ctx)
@@ -264,6 +269,9 @@
 			f.pause(ctx)
 		case following:
 			following = f.awaitTargets(ctx)
+		case f.refused.Load():
+			// One call tells whether the store is back.
+			_ = f.clock.Sleep(ctx, refusedLook)
 		default:
 			following = f.readTargets(ctx)
 		}
--- a/follow/turn_test.go
+++ b/follow/turn_test.go
@@ -196,3 +196,25 @@
 		}
 	})
 }
+
+// TestStoreThatIsAwayIsAskedOnce guards against two calls where one tells whether the store is back, from a host that has just started and knows no other.
+func TestStoreThatIsAwayIsAskedOnce(t *testing.T) {
+	const outage = 10 * time.Second
+	withFollower(t, func(f *Follower, s *shelf) {
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(4 * time.Second)
+		s.mu.Lock()
+		before := s.reads
+		s.mu.Unlock()
+		time.Sleep(outage)
+		s.mu.Lock()
+		tried := s.reads - before
+		s.down = false
+		s.mu.Unlock()
+		require.LessOrEqual(t, tried, int(outage/retryPeriod)+1)
+		s.change(route.Operator{Config: shardsOf(t, 2, "s"), Revision: 2})
+		time.Sleep(retryPeriod + 100*time.Millisecond)
+		require.EqualValues(t, 2, f.Config().Version)
+	})
+}
--- a/front/fleet.go
+++ b/front/fleet.go
@@ -161,6 +161,8 @@
 			f.log.Info("entry can't be taken back, it lapses", zap.Error(err))
 		}
 		return 0, renewed
+	case lease == 0 && f.follow.Away():
+		return 0, renewed
 	case lease == 0:
 		granted, err := f.store.Register(ctx, f.coord.Self, memberTTL)
 		if err != nil {
