soak: targets leave by word of their answers alone, and want nothing for a while

Targets say that they leave while the store shows them as serving, also while it is away, and all targets of a service refuse and say for how long they want nothing. The judge counts what comes to them afterwards: no more than each process may have under way when it is told.

--- a/mock/target.go
+++ b/mock/target.go
@@ -77,6 +77,19 @@
 	return time.Time{}
 }
 
+// Between returns the number of arrivals at a target in a span of time.
+func (l *Ledger) Between(target string, from, to time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, at := range l.arrivals[target] {
+		if at.After(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // Extra returns for each service the number of requests and the times of the arrivals beyond the first of each.
 func (l *Ledger) Extra() (requests map[string]int, extra map[string][]time.Time) {
 	l.mu.Lock()
--- a/soak/guards_test.go
+++ b/soak/guards_test.go
@@ -46,6 +46,20 @@
 		to:      "v.State == stateDraining && false,",
 		promise: "after it began to drain",
 	},
+	{
+		name:    "a target that says that it leaves gets nothing",
+		file:    "platform/egress.go",
+		from:    `if strings.TrimSpace(value) == "1" {`,
+		to:      "if false {",
+		promise: "after it said that it leaves",
+	},
+	{
+		name:    "a target that wants nothing gets nothing",
+		file:    "platform/egress.go",
+		from:    "if status == http.StatusServiceUnavailable {",
+		to:      "if false {",
+		promise: "after it said that it wants nothing",
+	},
 	{
 		name:    "repeats are bounded",
 		file:    "relay/budget.go",
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -187,6 +187,15 @@
 		},
 		func(*rand.Rand, time.Duration) { w.configure() },
 		func(r *rand.Rand, _ time.Duration) { w.drain(r) },
+		func(r *rand.Rand, _ time.Duration) { w.sayLeaving(r) },
+		// The store is away while a target says that it leaves.
+		func(r *rand.Rand, d time.Duration) {
+			during(d, func() { w.store.Set(mock.Silent); w.sayLeaving(r) }, func() { w.store.Set(mock.Well) })
+		},
+		func(r *rand.Rand, d time.Duration) {
+			all := w.targetsOf(oneOf(r).Service)
+			during(0, func() { w.sayQuiet(all, d) }, func() {})
+		},
 	}
 }
 
@@ -302,6 +311,12 @@
 	if served*10 < late*9 || late == 0 {
 		broken = append(broken, fmt.Sprintf("after the harm %d of %d requests are served", served, late))
 	}
+	for i, d := range w.words {
+		if d.to.IsZero() {
+			w.words[i].to, w.words[i].lives = time.Now(), w.lives()
+		}
+	}
+	broken = append(broken, w.judgeWords()...)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, at := range w.drains {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -72,6 +72,38 @@
 	harmed time.Time
 	harm   int
 	drains map[string]time.Time
+	// words are what targets have said of themselves.
+	words []word
+}
+
+// word is a span of time in which a target gets no more than the requests by which each process learns that it wants none.
+type word struct {
+	target, said string
+	from, to     time.Time
+	lives        int
+}
+
+// wordCost is the number of requests that a process may have under way to a target when it is told.
+const wordCost = 4
+
+// lives returns the number of processes that were started.
+func (w *world) lives() int {
+	n := 0
+	for _, h := range w.hosts {
+		life, _, _ := h.seen()
+		n += life
+	}
+	return n
+}
+
+// judgeWords finds requests to targets after they had said that they want none.
+func (w *world) judgeWords() (broken []string) {
+	for _, d := range w.words {
+		if n, most := w.ledger.Between(d.target, d.from, d.to), wordCost*d.lives; n > most {
+			broken = append(broken, fmt.Sprintf("%s got %d requests after it said that %s, %d processes may send %d", d.target, n, d.said, d.lives, most))
+		}
+	}
+	return broken
 }
 
 var program = sync.OnceValues(func() (string, error) {
@@ -150,8 +182,60 @@
 
 // drain has a target of a service with several ones leave, and another come.
 func (w *world) drain(r *rand.Rand) {
+	target, datacentre := w.leaver(r)
+	if target == nil {
+		return
+	}
+	w.addTarget(target.Service, datacentre)
+	w.store.Put("servers/"+target.ID, target.Entry(datacentre, "draining", 2))
 	w.mu.Lock()
-	var target *mock.Target
+	defer w.mu.Unlock()
+	w.drains[target.ID] = time.Now()
+}
+
+// sayLeaving has a target say in its answers that it leaves, which the store doesn't show, and another come.
+func (w *world) sayLeaving(r *rand.Rand) {
+	target, datacentre := w.leaver(r)
+	if target == nil {
+		return
+	}
+	w.addTarget(target.Service, datacentre)
+	target.Says.Store(&http.Header{"Server-Leaving": {"1"}})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// It is none that the store is to show as draining.
+	w.drains[target.ID] = time.Now().Add(time.Hour)
+	w.words = append(w.words, word{
+		target: target.ID,
+		said:   "it leaves",
+		from:   time.Now().Add(drainBound),
+	})
+}
+
+// sayQuiet has all targets of a service refuse for a time, and say for how long they want nothing.
+func (w *world) sayQuiet(all []*mock.Target, d time.Duration) {
+	began := time.Now()
+	before := w.lives()
+	each(all, func(t *mock.Target, on bool) { t.Says.Store(&http.Header{"Retry-After": {"3.5"}}); t.Sheds.Store(on) }, true)
+	time.Sleep(d)
+	each(all, func(t *mock.Target, on bool) { t.Sheds.Store(on); t.Says.Store(nil) }, false)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range all {
+		w.words = append(w.words, word{
+			target: t.ID,
+			said:   "it wants nothing",
+			from:   began,
+			to:     began.Add(d),
+			lives:  len(w.hosts) + w.lives() - before,
+		})
+	}
+}
+
+// leaver returns a target that hasn't left yet and its data centre, nil where there is none.
+func (w *world) leaver(r *rand.Rand) (target *mock.Target, datacentre string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, i := range r.Perm(len(w.targets)) {
 		if w.drains[w.targets[i].ID].IsZero() {
 			target = w.targets[i]
@@ -159,16 +243,9 @@
 		}
 	}
 	if target == nil {
-		w.mu.Unlock()
-		return
+		return nil, ""
 	}
-	datacentre := w.states[target.ID]
-	w.mu.Unlock()
-	w.addTarget(target.Service, datacentre)
-	w.store.Put("servers/"+target.ID, target.Entry(datacentre, "draining", 2))
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.drains[target.ID] = time.Now()
+	return target, w.states[target.ID]
 }
 
 // configure writes the next version, which has a route of its own.
