follow, relay: a host that is fed again after an outage takes the store for reached

A host whose own call had failed took the store for away until its next own call, which a fed host doesn't make: it went on asking three spares every 0.4 s, and since "one call at a time" it would not have registered anew once its entry had lapsed. Found by reading; TestFedAgainAfterAnOutage failed first.

Callers' answers no longer collect what targets said; only other hosts are told.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -115,6 +115,7 @@
 		}
 		f.takeState(s, feed)
 		// Views that stand for the store's are its answers, too.
+		f.regained("views")
 		f.answered.Store(f.stamp(f.clock.Now()))
 		if f.fed.Swap(f.stamp(f.clock.Now().Add(feedWait+feedGrace))) == 0 {
 			f.log.Info("views come from another host", zap.String("from", m.Name))
--- a/follow/turn_test.go
+++ b/follow/turn_test.go
@@ -218,3 +218,17 @@
 		require.EqualValues(t, 2, f.Config().Version)
 	})
 }
+
+// TestFedAgainAfterAnOutage guards against a host that takes the store for away, and neither registers nor stops asking spares, for as long as others feed it after an outage.
+func TestFedAgainAfterAnOutage(t *testing.T) {
+	withThrong(t, false, func(c *throng) {
+		time.Sleep(time.Second)
+		c.store.set(func() { c.store.down = true })
+		time.Sleep(10 * time.Second)
+		c.store.set(func() { c.store.down = false })
+		time.Sleep(10 * time.Second)
+		for _, h := range c.hosts {
+			require.False(t, h.Away())
+		}
+	})
+}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -110,7 +110,9 @@
 	a := q.answer()
 	a.Version = config.Version
 	a.Offered = q.offered
-	a.Leavers = e.Leavers()
+	if r.Origin != "" {
+		a.Leavers = e.Leavers()
+	}
 	a.Took = e.clock.Since(start)
 	e.report(q, a)
 	return a
--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -111,6 +111,8 @@
 		a, _ := l.ask("/one/1")
 		require.Nil(t, a.Fault)
 		require.Zero(t, l.sentTo(first))
+		require.Empty(t, a.Leavers, "callers aren't told")
+		a = l.engine.Handle(context.Background(), &Request{ID: "q", Host: "h", Path: "/one/1", Left: deadline, Origin: "other"})
 		require.Len(t, a.Leavers, 1)
 		require.GreaterOrEqual(t, a.Leavers[0].Age, time.Second)
 		time.Sleep(toldAge)
