pool, platform: the time left is told when a request is sent

The header was made when the sub-request was decided, and a connection may take up to 1.5 s after that.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -53,6 +53,8 @@
 	Keep int
 	// Wanted reports whether the request is still to be sent once there is a connection for it; nil means always.
 	Wanted func() bool
+	// Stamp changes the header when there is a connection; left is the time until the deadline then. Nil means that the header stays.
+	Stamp func(h http.Header, left time.Duration)
 	// Matches reports whether an answer belongs to this request; others are passed over.
 	Matches func(http.Header) bool
 	// Head is told of the head of each final answer that is read, before its body; nil means nobody is.
@@ -140,6 +142,9 @@
 		c.Close()
 		return nil, &Error{Err: ErrUnwanted}
 	}
+	if r.Stamp != nil {
+		r.Stamp(r.Header, deadline.Sub(p.clock.Now()))
+	}
 	// A deadline in the past wakes a blocked read or write when the context ends.
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
