coord: strong hosts are coordinators before weak ones that are nearer

A region of 98 hosts needs four coordinators and a spare, a data centre has three strong hosts; the fourth and the spare were weak ones of the data centre with most targets while three strong ones of the other were left. TestCoordinatorsAreStrongBeforeTheyAreNear failed first. Regions of up to 64 hosts, or of equal ones, have the coordinators that they had.

--- a/coord/member.go
+++ b/coord/member.go
@@ -44,7 +44,10 @@
 // hostsEach is the number of hosts of a region for each coordinator: the fewer there are, the more each learns of the targets.
 const hostsEach = 32
 
-// Coordinators returns the coordinators of a region in an order that all hosts agree on who know the same members: those in the data centre with most targets first, there the strongest; targets counts those by data centre.
+// strongShare is the part of the strongest host's processor time from which a host of the region is strong.
+const strongShare = 0.5
+
+// Coordinators returns the coordinators of a region in an order that all hosts agree on who know the same members: strong hosts first, of these the ones in the data centre with most targets, there the strongest; targets counts those by data centre.
 func Coordinators(all []Member, region string, targets map[string]int) []Member {
 	var own []Member
 	for _, m := range all {
@@ -52,8 +55,19 @@
 			own = append(own, m)
 		}
 	}
+	most := 0.0
+	for _, m := range own {
+		most = max(most, m.Cores)
+	}
+	weak := func(m Member) int {
+		if m.Cores < strongShare*most {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(own, func(a, b Member) int {
 		return cmp.Or(
+			weak(a)-weak(b),
 			cmp.Compare(targets[b.Datacentre], targets[a.Datacentre]),
 			cmp.Compare(b.Cores, a.Cores),
 			cmp.Compare(a.Name, b.Name),
