relay, platform, front: what the change did twice is done once

Found when the whole change was read once more; nothing behaves otherwise. Sub.Left stood for what Deadline says since the time left is told at the sending; hosts built the function that sends requests on anew for each request; words of targets were copied every five seconds also where there are none; gaugeSaid was given its engine's own scope.

The model checks weren't reached.

--- a/front/front.go
+++ b/front/front.go
@@ -106,7 +106,7 @@
 			Cores:      c.Cores,
 		},
 		Local:  func(ctx context.Context, r *relay.Request) *relay.Answer { return f.engine.Handle(ctx, r) },
-		Send:   f.forward,
+		Send:   f.learning(platform.Forward(f.pool)),
 		Ping:   f.ping,
 		Config: f.follow.Config,
 		View:   f.follow.View,
@@ -179,13 +179,18 @@
 	return err
 }
 
-// forward sends a request on to another host and takes what that host has heard from targets.
-func (f *Front) forward(ctx context.Context, to coord.Member, r *relay.Request, deadline time.Time) (*relay.Answer, error) {
-	a, err := platform.Forward(f.pool)(ctx, to, r, deadline)
-	if err == nil {
-		f.engine.Learn(a.Leavers)
+// send carries a request to another host until a deadline.
+type send func(ctx context.Context, to coord.Member, r *relay.Request, deadline time.Time) (*relay.Answer, error)
+
+// learning returns a send that takes what the other host has heard from targets.
+func (f *Front) learning(inner send) send {
+	return func(ctx context.Context, to coord.Member, r *relay.Request, deadline time.Time) (*relay.Answer, error) {
+		a, err := inner(ctx, to, r, deadline)
+		if err == nil {
+			f.engine.Learn(a.Leavers)
+		}
+		return a, err
 	}
-	return a, err
 }
 
 // handle answers a caller; right after a start it waits for what the answer needs, which is sooner than the caller could come back.
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -140,7 +140,7 @@
 	e.ranks.Keep(func(id string) bool { return view.Entries[id] != nil })
 	e.cold.keep(func(id string) bool { return view.Entries[id] != nil })
 	e.said.forget(view, e.clock.Now())
-	e.gaugeSaid(e.scope)
+	e.gaugeSaid()
 	if c := e.beliefs.Config(); c != nil {
 		known := func(s string) bool {
 			_, found := c.Services[s]
--- a/relay/run.go
+++ b/relay/run.go
@@ -517,7 +517,6 @@
 	e.load.add(groupOf(q.route, p), 1)
 	e.cold.note(to, q.config.Services[p.service], now)
 	sub := Sub{
-		Left:     q.end.Sub(now),
 		Deadline: q.end,
 		Fresh:    !q.route.Idempotent,
 		Keep:     e.keep(q.config.Services[p.service]),
--- a/relay/said.go
+++ b/relay/said.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"kingcupcross/fault"
@@ -126,6 +125,9 @@
 func (s *said) forget(view *roster.View, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if w := s.load(); len(w.leaving)+len(w.quiet) == 0 {
+		return
+	}
 	s.change(func(w *words) {
 		maps.DeleteFunc(w.leaving, func(id string, l leaving) bool {
 			e := view.Entries[id]
@@ -300,7 +302,7 @@
 }
 
 // gaugeSaid shows how many targets are taken for leaving or quiet at their own word.
-func (e *Engine) gaugeSaid(scope tally.Scope) {
+func (e *Engine) gaugeSaid() {
 	w, now := e.said.load(), e.clock.Now()
 	silent := 0
 	for _, q := range w.quiet {
@@ -308,6 +310,6 @@
 			silent++
 		}
 	}
-	scope.Gauge("targets_leaving_by_word").Update(float64(len(w.leaving)))
-	scope.Gauge("targets_quiet").Update(float64(silent))
+	e.scope.Gauge("targets_leaving_by_word").Update(float64(len(w.leaving)))
+	e.scope.Gauge("targets_quiet").Update(float64(silent))
 }
--- a/relay/types.go
+++ b/relay/types.go
@@ -86,8 +86,7 @@
 
 // Sub says how a sub-request is sent.
 type Sub struct {
-	// Left is the time that the target may take.
-	Left     time.Duration
+	// Deadline is the time until which the target may take.
 	Deadline time.Time
 	// Fresh asks for a new connection.
 	Fresh bool
