relay, rank: permission to send is taken with the choice of a target

A target that came back from quiet got two sub-requests at once.

Cause: a target was chosen by limits that were counted only when the sub-request was launched, and other requests chose in between. The same held for the connections to a target, for the requests to a cold one, and for the room that admission gives. Repeats to a target that was asked before didn't look at its connections at all, and connections set up ahead weren't counted.

Ruled out: the test.

Change: a choice returns a claim, which holds one of the target's connections (or its one place while it comes back) and one of a cold target's requests, each taken in one step with its check; a claim that nothing is sent with is released. Admission takes the room of a whole request in one step. Limits checked and counted in one step already: budgets, probes of silent targets, loans.

--- a/rank/rank.go
+++ b/rank/rank.go
@@ -61,6 +61,8 @@
 	dead    time.Time
 	backoff time.Duration
 	flights map[*Flight]struct{}
+	// reserved counts the requests that may be sent and haven't been yet.
+	reserved int
 	// unanswered is the start of the first request since the last answer, zero where all are answered; misses counts those that ended without one.
 	unanswered time.Time
 	misses     int
@@ -114,11 +116,42 @@
 	})
 }
 
-// Begin notes a request that is sent to the target.
+// Reserve takes the permission for one request unless most are under way or reserved already; it ends with BeginReserved or Release.
+func (r *Rank) Reserve(most int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.flights)+r.reserved >= most {
+		return false
+	}
+	r.reserved++
+	return true
+}
+
+// Release gives a reservation back that nothing was sent with.
+func (r *Rank) Release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reserved--
+}
+
+// BeginReserved notes a request that is sent with a reservation.
+func (r *Rank) BeginReserved(now time.Time) *Flight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reserved--
+	return r.begin(now)
+}
+
+// Begin notes a request that is sent to the target without a reservation.
 func (r *Rank) Begin(now time.Time) *Flight {
-	f := &Flight{start: now}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.begin(now)
+}
+
+// begin notes a request; the lock is held.
+func (r *Rank) begin(now time.Time) *Flight {
+	f := &Flight{start: now}
 	r.flights[f] = struct{}{}
 	if r.unanswered.IsZero() {
 		r.unanswered = now
@@ -290,9 +323,9 @@
 	return time.Duration(r.usual)
 }
 
-// Under returns the number of requests under way at the target.
+// Under returns the number of requests under way at the target or reserved.
 func (r *Rank) Under() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.flights)
+	return len(r.flights) + r.reserved
 }
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -108,10 +108,36 @@
 	}
 }
 
-func (l *load) read(group string) int {
+// enter takes room for n sub-requests of a group, unless they would be more than room with those under way; a group with none under way has room for any. It returns the number under way.
+func (l *load) enter(group string, n int, room float64) (busy int, entered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.groups[group]
+	busy = l.groups[group]
+	if busy > 0 && float64(busy+n) > room {
+		return busy, false
+	}
+	if l.groups == nil {
+		l.groups = map[string]int{}
+	}
+	l.groups[group] = busy + n
+	return busy, true
+}
+
+// loadOne counts one sub-request as load, from the room that the request has reserved while there is some.
+func (q *run) loadOne(p *part) {
+	if q.reserved > 0 {
+		q.reserved--
+		return
+	}
+	q.engine.load.add(groupOf(q.route, p), 1)
+}
+
+// freeRoom gives back the room that no sub-request has taken.
+func (q *run) freeRoom() {
+	if q.reserved > 0 {
+		q.engine.load.add(groupOf(q.route, q.parts[0]), -q.reserved)
+		q.reserved = 0
+	}
 }
 
 // depth is the number of sub-requests for each slot of a target that all hosts together have under way at most: one that runs, one that is on its way, and some that wait.
@@ -160,8 +186,9 @@
 	}
 	limit := q.start.Add(time.Duration(waitShare * float64(q.route.Aim)))
 	for {
-		busy := e.load.read(group)
-		if float64(busy+len(q.parts)) <= room || busy == 0 {
+		busy, entered := e.load.enter(group, len(q.parts), room)
+		if entered {
+			q.reserved = len(q.parts)
 			return nil
 		}
 		now := e.clock.Now()
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -7,30 +7,30 @@
 	"kingcupcross/roster"
 )
 
-// choose returns the target that is expected to answer first, or nil where none may be asked any more.
-func (q *run) choose(p *part, now time.Time) *roster.Entry {
+// choose claims the target that is expected to answer first, or returns nil where none may be asked any more.
+func (q *run) choose(p *part, now time.Time) *claim {
 	if p.reached >= max(q.route.Attempts, 1) || len(p.asked) >= max(q.route.Attempts, 1)+dialTries {
 		return nil
 	}
-	e := q.engine
-	conns := e.conns(q.config.Services[p.service])
-	p.full = false
-	return q.fastest(p, now, func(t *roster.Entry) bool {
-		if slices.Contains(p.asked, t.ID) {
-			return false
-		}
-		full := e.rank(t).Under() >= conns
-		p.full = p.full || full
-		return !full
-	})
+	return q.claimFastest(p, now, func(t *roster.Entry) bool { return !slices.Contains(p.asked, t.ID) })
+}
+
+// mayRepeat reports whether a target that was asked for a part before may be asked again.
+func (q *run) mayRepeat(p *part, now time.Time) bool {
+	return len(p.flights) < max(q.route.Attempts, 1)+repeats && q.fastest(p, now, p.wasAsked) != nil
 }
 
-// repeated returns the target that a part may be asked again of, or nil.
-func (q *run) repeated(p *part, now time.Time) *roster.Entry {
+// repeated claims the target that a part is asked of again, or returns nil.
+func (q *run) repeated(p *part, now time.Time) *claim {
 	if len(p.flights) >= max(q.route.Attempts, 1)+repeats {
 		return nil
 	}
-	return q.fastest(p, now, func(t *roster.Entry) bool { return slices.Contains(p.asked, t.ID) })
+	return q.claimFastest(p, now, p.wasAsked)
+}
+
+// wasAsked reports whether a target was chosen for the part before.
+func (p *part) wasAsked(t *roster.Entry) bool {
+	return slices.Contains(p.asked, t.ID)
 }
 
 // fastest returns the target of a part that is expected to answer first of those that may be asked, or nil.
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,14 +42,29 @@
 	return len(g.recent(t.ID, now)) < g.allowance(s)
 }
 
-// note counts a request to a target.
-func (g *coldGate) note(t *roster.Entry, s route.Service, now time.Time) {
+// take counts a request to a target and reports whether it may get it.
+func (g *coldGate) take(t *roster.Entry, s route.Service, now time.Time) bool {
 	if s.ColdRate <= 0 || !now.Before(t.ColdUntil) {
-		return
+		return true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sent[t.ID] = append(g.recent(t.ID, now), now)
+	recent := g.recent(t.ID, now)
+	if len(recent) >= g.allowance(s) {
+		return false
+	}
+	g.sent[t.ID] = append(recent, now)
+	return true
+}
+
+// giveBack takes back the count of a request of a time that was not sent.
+func (g *coldGate) giveBack(t *roster.Entry, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := g.sent[t.ID]
+	if i := slices.IndexFunc(all, at.Equal); i >= 0 {
+		g.sent[t.ID] = slices.Concat(all[:i], all[i+1:])
+	}
 }
 
 // recent returns the sends of the last window; the lock is held.
--- a/relay/group.go
+++ b/relay/group.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/pool"
-	"kingcupcross/roster"
 )
 
 // leastGroup is the number of parts from which another host is asked for them: a merged answer is about as large as four of them.
@@ -21,21 +20,21 @@
 	err        error
 }
 
-// delegate has other hosts of the region answer for the parts whose targets are in their data centres, and returns those parts.
-func (q *run) delegate(chosen []*roster.Entry) map[*part]bool {
+// delegate has other hosts of the region answer for the parts whose targets are in their data centres, gives their claims back, and returns those parts.
+func (q *run) delegate(chosen []*claim) map[*part]bool {
 	e := q.engine
 	if !q.route.Fanout() || q.request.Shards != nil {
 		return nil
 	}
 	groups := map[string]*group{}
-	for i, to := range chosen {
-		if to == nil || to.Datacentre == e.place.Datacentre || to.Region != e.place.Region {
+	for i, c := range chosen {
+		if c == nil || c.to.Datacentre == e.place.Datacentre || c.to.Region != e.place.Region {
 			continue
 		}
-		g := groups[to.Datacentre]
+		g := groups[c.to.Datacentre]
 		if g == nil {
-			g = &group{datacentre: to.Datacentre}
-			groups[to.Datacentre] = g
+			g = &group{datacentre: c.to.Datacentre}
+			groups[c.to.Datacentre] = g
 		}
 		g.parts = append(g.parts, q.parts[i])
 	}
@@ -50,6 +49,11 @@
 		}
 		q.ask(g)
 	}
+	for i, p := range q.parts {
+		if delegated[p] {
+			e.release(chosen[i])
+		}
+	}
 	return delegated
 }
 
@@ -96,15 +100,16 @@
 		for _, p := range g.parts {
 			p.elsewhere = false
 			p.offered = g.answer != nil && g.answer.Offered
-			switch to := q.choose(p, now); {
-			case to == nil:
+			switch c := q.choose(p, now); {
+			case c == nil:
 				q.lose(p)
 			case !p.offered:
-				q.begin(p, to, now)
+				q.begin(p, c, now)
 			case q.pay(p):
 				q.retries++
-				q.launch(p, to, now)
+				q.launch(p, c, now)
 			default:
+				e.release(c)
 				q.lose(p)
 			}
 		}
--- a/relay/run.go
+++ b/relay/run.go
@@ -59,8 +59,9 @@
 	asked  []*group
 	work   context.Context
 	cancel context.CancelFunc
-	// admitted says that there was room for the request.
+	// admitted says that there was room for the request; reserved is the part of it that no sub-request has taken yet.
 	admitted bool
+	reserved int
 	// ran says that something of the request may have run, offered that sub-requests came to targets.
 	ran, offered    bool
 	hedges, retries int
@@ -174,6 +175,7 @@
 			q.unload(f)
 		}
 	}
+	q.freeRoom()
 	linger := loserLinger
 	if q.ctx.Err() != nil {
 		linger = goneLinger
@@ -192,7 +194,7 @@
 	}
 	q.admitted = true
 	now := e.clock.Now()
-	chosen := make([]*roster.Entry, len(q.parts))
+	chosen := make([]*claim, len(q.parts))
 	reachable := 0
 	for i, p := range q.parts {
 		if chosen[i] = q.choose(p, now); chosen[i] != nil || p.full {
@@ -200,10 +202,12 @@
 		}
 	}
 	if reachable < q.needed {
+		e.release(chosen...)
 		f := fault.New(fault.NoReplica, "%d of %d shards have a target, %d are needed", reachable, len(q.parts), q.needed)
 		return fail(q.afterQuiet(f, now))
 	}
 	if lively := q.lively(chosen, now); lively < q.needed && !e.probes.turn(groupOf(q.route, q.parts[0]), now) {
+		e.release(chosen...)
 		e.scope.Counter("silent_refusals").Inc(1)
 		e.block()
 		return fail(fault.New(fault.NoReplica, "%d of %d shards have a target that answers, %d are needed", lively, len(q.parts), q.needed).After(silentRetry))
@@ -219,6 +223,7 @@
 			q.begin(p, chosen[i], now)
 		}
 	}
+	q.freeRoom()
 	return q.wait()
 }
 
@@ -367,17 +372,19 @@
 func (q *run) again(p *part, notRun bool) {
 	now := q.engine.clock.Now()
 	if notRun || q.route.Idempotent {
-		if to := q.choose(p, now); to != nil && now.Before(q.end) && q.pay(p) {
+		c := q.choose(p, now)
+		if c != nil && now.Before(q.end) && q.pay(p) {
 			q.retries++
-			q.launch(p, to, now)
+			q.launch(p, c, now)
 			return
 		}
+		q.engine.release(c)
 	}
 	if p.open() > 0 {
 		return
 	}
 	at := now.Add(repeatDelay << (len(p.flights) - 1))
-	if (notRun || q.route.Idempotent) && q.worthwhile(at) && q.repeated(p, now) != nil {
+	if (notRun || q.route.Idempotent) && q.worthwhile(at) && q.mayRepeat(p, now) {
 		p.retryAt = at
 		return
 	}
@@ -405,9 +412,9 @@
 	p.retryAt = time.Time{}
 	if len(p.flights) == 0 {
 		// The part waits for room at its targets.
-		switch to := q.choose(p, now); {
-		case to != nil:
-			q.begin(p, to, now)
+		switch c := q.choose(p, now); {
+		case c != nil:
+			q.begin(p, c, now)
 		case p.full && q.worthwhile(now):
 			p.retryAt = now.Add(waitStep)
 		default:
@@ -415,13 +422,17 @@
 		}
 		return
 	}
-	to := q.repeated(p, now)
-	if to == nil || !q.pay(p) {
+	c := q.repeated(p, now)
+	switch {
+	case c == nil && p.full && q.worthwhile(now):
+		p.retryAt = now.Add(waitStep)
+	case c == nil || !q.pay(p):
+		q.engine.release(c)
 		q.lose(p)
-		return
+	default:
+		q.retries++
+		q.launch(p, c, now)
 	}
-	q.retries++
-	q.launch(p, to, now)
 }
 
 // pay takes a sub-request from the budget unless none has reached a target of the part yet.
@@ -469,37 +480,35 @@
 
 // hedge asks another target for a part that is overdue.
 func (q *run) hedge(p *part, now time.Time) {
-	to := q.choose(p, now)
-	if to == nil {
+	c := q.choose(p, now)
+	if c == nil {
 		return
 	}
-	expected := now.Add(q.engine.rank(to).Estimate(now, to.Slots))
+	expected := now.Add(c.estimate)
 	// A part that comes after the answer helps nobody.
-	if q.route.Fanout() && now.Before(q.aim) && expected.After(q.aim) {
-		return
-	}
-	if expected.After(q.end) || !q.pay(p) {
+	useless := q.route.Fanout() && now.Before(q.aim) && expected.After(q.aim)
+	if useless || expected.After(q.end) || !q.pay(p) {
+		q.engine.release(c)
 		return
 	}
 	q.hedges++
-	q.launch(p, to, now)
+	q.launch(p, c, now)
 }
 
 // begin sends the first sub-request of a part.
-func (q *run) begin(p *part, to *roster.Entry, now time.Time) {
+func (q *run) begin(p *part, c *claim, now time.Time) {
 	q.engine.budgets.earn(p.service)
-	q.launch(p, to, now)
+	q.launch(p, c, now)
 }
 
-// launch sends a sub-request.
-func (q *run) launch(p *part, to *roster.Entry, now time.Time) {
-	e := q.engine
-	r := e.rank(to)
+// launch sends a sub-request with a claim.
+func (q *run) launch(p *part, c *claim, now time.Time) {
+	e, to, r := q.engine, c.to, c.rank
 	f := &flight{
 		part:  p,
 		to:    to,
 		rank:  r,
-		mark:  r.Begin(now),
+		mark:  r.BeginReserved(now),
 		sent:  now,
 		check: now.Add(r.Overdue(now)),
 	}
@@ -514,8 +523,7 @@
 	q.noteLeaving(f)
 	p.reached++
 	p.flights = append(p.flights, f)
-	e.load.add(groupOf(q.route, p), 1)
-	e.cold.note(to, q.config.Services[p.service], now)
+	q.loadOne(p)
 	sub := Sub{
 		Deadline: q.end,
 		Fresh:    !q.route.Idempotent,
--- a/relay/said.go
+++ b/relay/said.go
@@ -266,10 +266,15 @@
 	return leaves && !e.mayServeLast(l, now)
 }
 
+// ramped reports whether a target was left alone until a moment ago, so that it gets one sub-request at a time from here.
+func (e *Engine) ramped(t *roster.Entry, now time.Time) bool {
+	until := e.said.load().quietUntil(t)
+	return !until.IsZero() && now.Before(until.Add(returnRamp))
+}
+
 // returning reports whether a target was left alone until a moment ago and already has work from here.
 func (e *Engine) returning(t *roster.Entry, now time.Time) bool {
-	until := e.said.load().quietUntil(t)
-	return !until.IsZero() && now.Before(until.Add(returnRamp)) && e.rank(t).Under() > 0
+	return e.ramped(t, now) && e.rank(t).Under() > 0
 }
 
 // quietEnd returns the earliest time at which a part all of whose targets are left alone may be asked for again, zero where there is none.
--- a/relay/silent.go
+++ b/relay/silent.go
@@ -57,11 +57,11 @@
 }
 
 // lively returns the number of parts that have a target of which an answer can be expected; chosen are those that would be asked.
-func (q *run) lively(chosen []*roster.Entry, now time.Time) int {
+func (q *run) lively(chosen []*claim, now time.Time) int {
 	n := 0
 	for i, p := range q.parts {
 		switch {
-		case chosen[i] != nil && !q.engine.rank(chosen[i]).Silent(now):
+		case chosen[i] != nil && !chosen[i].rank.Silent(now):
 			n++
 		case q.fastest(p, now, func(t *roster.Entry) bool { return !q.engine.rank(t).Silent(now) }) != nil:
 			n++
--- a/relay/warm.go
+++ b/relay/warm.go
@@ -27,9 +27,15 @@
 	for range warmAtOnce {
 		all.Go(func() {
 			for t := range targets {
+				// A connection that is set up counts to those that the target accepts.
+				r := e.rank(t)
+				if !r.Reserve(1) {
+					continue
+				}
 				if err := prepare(ctx, t.Address); err != nil {
 					e.log.Debug("connection can't be set up", zap.String("target", t.ID), zap.Error(err))
 				}
+				r.Release()
 			}
 		})
 	}
