relay, coord: what there is no room for is refused at once, hedges stop while much is under way

Requests on a route to one service were refused because queries over an index were under way whose first shard that service is.

Cause: admission held each host to 7 sub-requests a slot of its part of the limits, less what it had lent; room for a handful of queries a host, which uneven arrivals fill while the targets are half idle. The wait took time and ended in the refusal. Hedges, up to a fifth more work, went on under load.

Change: 10 sub-requests a slot, of a part that counts what is lent; refused at once; a late answer takes a tenth of the room, down to a fifth; no hedge while more than a quarter of the room is taken; a route is urgent among those that share its room; a group of shards has its own room, apart from its first service. A group that another host refuses for lack of room is asked for from here, as one refused for other reasons was.

TestUrgentRoutesFindRoom and TestSilentShardsTakeNoRoom name the group as the code does now.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -183,6 +183,11 @@
 	return c.loans.held(c.own(), c.clock.Now())
 }
 
+// Room returns the part of the targets' slots that this host may fill: its own and those that others leave to it. All hosts together needn't keep to the slots, so what is lent still counts here.
+func (c *Coord) Room() float64 {
+	return c.loans.reach(c.own(), c.clock.Now())
+}
+
 // Handle answers a caller's request here or at a coordinator.
 func (c *Coord) Handle(ctx context.Context, r *relay.Request) *relay.Answer {
 	now := c.clock.Now()
--- a/coord/loans.go
+++ b/coord/loans.go
@@ -72,6 +72,13 @@
 	return min(max(own+sum(l.taken, now, whole)-sum(l.given, now, whole), 0), 1)
 }
 
+// reach returns what this host has and what others leave to it, with own as its part of the limits.
+func (l *loans) reach(own float64, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(own+sum(l.taken, now, whole), 1)
+}
+
 // busy reports whether another host's part lies here.
 func (l *loans) busy(now time.Time) bool {
 	l.mu.Lock()
--- a/front/front.go
+++ b/front/front.go
@@ -121,6 +121,7 @@
 		View:   f.follow.View,
 		Out:    f.follow.Out,
 		Share:  f.coord.Share,
+		Room:   f.coord.Room,
 	}, relay.Limits{
 		Extra:  c.Extra,
 		Slack:  c.Slack,
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -1,9 +1,9 @@
 package relay
 
 import (
-	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,16 +12,14 @@
 )
 
 const (
-	// waitShare is the part of the latency objective that a request waits for room: what starts later is late anyway.
-	waitShare = 0.2
-	// waitStep is the time between two looks for room, about that of a short sub-request.
-	waitStep = 4 * time.Millisecond
 	// lessUrgent is the part of the room that requests of less urgent routes may fill, so that urgent ones find some.
-	lessUrgent = 0.75
+	lessUrgent = 0.9
 	// leastRoom is the number of requests at once that a host lets in whatever its share is.
 	leastRoom = 2
-	// comeBack is the time after which a caller finds room again, if the load doesn't last: that of a few waits.
+	// comeBack is the time after which a caller finds room again, if the load doesn't last: that of a few answers.
 	comeBack = 150 * time.Millisecond
+	// hedgeRoom is the part of the room from which no hedges are sent: what they add then delays more answers than they save.
+	hedgeRoom = 0.25
 )
 
 // load counts the sub-requests under way to groups of services that are not overdue: those that are wait for a target, not for room.
@@ -34,9 +32,9 @@
 
 const (
 	// leastPace bounds how far late answers take a group's room down.
-	leastPace = 0.25
+	leastPace = 0.2
 	// latePace is the factor of a late answer, timelyPace what an answer in time adds.
-	latePace   = 0.85
+	latePace   = 0.9
 	timelyPace = 0.005
 )
 
@@ -86,17 +84,27 @@
 func (l *load) keep(known func(string) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.pace, func(g string, _ float64) bool { return !known(g) })
+	maps.DeleteFunc(l.pace, func(g string, _ float64) bool { return !known(strings.TrimPrefix(g, shardsOf)) })
 }
 
+// shardsOf begins the name of a group of shards, which tells it from that of a route to the first of them alone.
+const shardsOf = "shards of "
+
 // groupOf names the services that share their room: all shards of an index, or one service.
 func groupOf(r *route.Route, p *part) string {
 	if r.Fanout() {
-		return r.Shards[0]
+		return shardsOf + r.Shards[0]
 	}
 	return p.service
 }
 
+// read returns the number of sub-requests of a group under way.
+func (l *load) read(group string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.groups[group]
+}
+
 func (l *load) add(group string, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -140,8 +148,8 @@
 	}
 }
 
-// depth is the number of sub-requests for each slot of a target that all hosts together have under way at most: one that runs, one that is on its way, and some that wait.
-const depth = 7
+// depth is the number of sub-requests for each slot of a target that all hosts together have under way at most, if no answer is late: one that runs, one that is on its way, and what a target queues.
+const depth = 10
 
 // room returns the number of sub-requests at once that this host may have at a request's services: its share of what their targets work on in good time.
 func (q *run) room() float64 {
@@ -152,7 +160,7 @@
 			total += float64(depth * t.Slots)
 		}
 	}
-	return total * q.engine.beliefs.Share()
+	return total * q.engine.beliefs.Room()
 }
 
 // unlimitedConns stands for a service that doesn't state how many connections its targets accept.
@@ -166,38 +174,44 @@
 	return max(1, int(float64(s.Conns)*e.beliefs.Share()))
 }
 
-// urgent reports whether no route of the configuration is more urgent.
+// urgent reports whether no route that shares the room is more urgent.
 func (q *run) urgent() bool {
+	group := groupOf(q.route, q.parts[0])
 	for i := range q.config.Routes {
-		if q.config.Routes[i].Priority < q.route.Priority {
+		if r := &q.config.Routes[i]; r.Priority < q.route.Priority && uses(r, group) {
 			return false
 		}
 	}
 	return true
 }
 
-// admit waits until there is room for the request; the error says that there is none, with when to come back.
-func (q *run) admit(ctx context.Context) *fault.Error {
+// uses reports whether a route's requests take room of a group.
+func uses(r *route.Route, group string) bool {
+	if r.Fanout() {
+		return groupOf(r, nil) == group
+	}
+	return slices.ContainsFunc(r.Shares, func(s route.Share) bool { return s.Service == group })
+}
+
+// admit takes room for the request or refuses it at once, with when to come back: a wait would only take from the time that the caller has left.
+func (q *run) admit() *fault.Error {
 	e := q.engine
 	group := groupOf(q.route, q.parts[0])
-	room := max(q.room()*e.load.paceOf(group), float64(leastRoom*len(q.parts)))
+	q.allowed = max(q.room()*e.load.paceOf(group), float64(leastRoom*len(q.parts)))
+	room := q.allowed
 	if !q.urgent() {
 		room *= lessUrgent
 	}
-	limit := q.start.Add(time.Duration(waitShare * float64(q.route.Aim)))
-	for {
-		busy, entered := e.load.enter(group, len(q.parts), room)
-		if entered {
-			q.reserved = len(q.parts)
-			return nil
-		}
-		now := e.clock.Now()
-		if !now.Before(limit) {
-			e.scope.Counter("without_room").Inc(1)
-			return fault.New(fault.Overload, "%d sub-requests are under way, there is room for %.0f", busy, room).After(comeBack)
-		}
-		if e.clock.Sleep(ctx, waitStep) != nil {
-			return fault.New(fault.Overload, "the caller has left while it waited for room")
-		}
+	busy, entered := e.load.enter(group, len(q.parts), room)
+	if !entered {
+		e.scope.Counter("without_room").Inc(1)
+		return fault.New(fault.Overload, "%d sub-requests are under way, there is room for %.0f", busy, room).After(comeBack)
 	}
+	q.reserved = len(q.parts)
+	return nil
+}
+
+// crowded reports whether so much is under way that hedges would do harm.
+func (q *run) crowded(p *part) bool {
+	return float64(q.engine.load.read(groupOf(q.route, p))) > hedgeRoom*q.allowed
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -31,6 +31,8 @@
 	Out func(datacentre string) bool
 	// Share is the part of the limits over all hosts that this host may use, above 0 and at most 1.
 	Share func() float64
+	// Room is the part of the targets' slots that this host may fill, above 0 and at most 1.
+	Room func() float64
 }
 
 // Limits are bounds over all hosts.
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -96,6 +96,7 @@
 			View:   l.known,
 			Out:    l.isOut,
 			Share:  func() float64 { return 0.8 / float64(l.hosts) },
+			Room:   func() float64 { return 0.8 / float64(l.hosts) },
 		}, Limits{
 			Extra:  0.2,
 			Slack:  50,
@@ -254,3 +255,8 @@
 
 // firstNumber decodes the first eight bytes of a record.
 func firstNumber(b []byte) uint64 { return binary.BigEndian.Uint64(b) }
+
+// shareOf is the list of a route to one service.
+func (l *fleet) shareOf(service string) []route.Share {
+	return []route.Share{{Service: service, Weight: 1}}
+}
--- a/relay/group.go
+++ b/relay/group.go
@@ -93,8 +93,8 @@
 		q.lost += len(g.parts) - len(g.answer.Signatures)
 		q.merged = append(q.merged, g.answer)
 		return
-	case unsent || (g.err == nil && (g.answer.Aside || g.answer.Status == http.StatusServiceUnavailable)):
-		// A refusal with this status says that nothing has run: too few targets answer there.
+	case unsent || (g.err == nil && (g.answer.Aside || g.answer.Status == http.StatusServiceUnavailable || g.answer.Status == http.StatusTooManyRequests)):
+		// A refusal with one of these statuses says that nothing has run: too few targets answer there, or there is no room.
 		e.scope.Counter("groups_back").Inc(1)
 		now := e.clock.Now()
 		for _, p := range g.parts {
--- a/relay/pressure_test.go
+++ b/relay/pressure_test.go
@@ -136,9 +136,8 @@
 		less := l.config.Routes[0]
 		less.Priority = 2
 		l.force(l.config.Services, urgent, less)
-		group := l.config.Routes[0].Shards[0]
 		q := l.engine.newRun(context.Background(), &Request{Host: "h", Path: "/all/1"}, l.config, l.config.Match("h", "/all/1"), time.Now())
-		l.engine.load.add(group, int(lessUrgent*q.room()))
+		l.engine.load.add(groupOf(q.route, nil), int(lessUrgent*q.room()))
 		a, _ := l.ask("/all/1")
 		require.Equal(t, fault.Overload, a.Fault.Kind)
 		a, _ = l.ask("/urgent/1")
@@ -174,6 +173,6 @@
 		for range 3 {
 			l.ask("/all/1")
 		}
-		require.InDelta(t, 1, l.engine.load.paceOf(l.config.Routes[0].Shards[0]), 0)
+		require.InDelta(t, 1, l.engine.load.paceOf(groupOf(&l.config.Routes[0], nil)), 0)
 	})
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -26,6 +26,8 @@
 	hedgeMargin = 8 * time.Millisecond
 	// recheck is the time after which a hedge that was not possible is thought of again.
 	recheck = 10 * time.Millisecond
+	// waitStep is the time after which a target is looked for again where this host has as much under way at each as it may: about that of a short sub-request.
+	waitStep = 4 * time.Millisecond
 	// repeatDelay is the time before a target that failed is asked again, doubled with each sub-request.
 	repeatDelay = 5 * time.Millisecond
 	// earlyShare is the part of the latency objective within which a request that nobody has begun is given up on.
@@ -62,6 +64,8 @@
 	// admitted says that there was room for the request; reserved is the part of it that no sub-request has taken yet.
 	admitted bool
 	reserved int
+	// allowed is the number of sub-requests that there is room for at the request's services.
+	allowed float64
 	// ran says that something of the request may have run, offered that sub-requests came to targets.
 	ran, offered    bool
 	hedges, retries int
@@ -189,7 +193,7 @@
 	if limit := q.config.Limits.Body; limit > 0 && int64(len(q.request.Body)) > limit {
 		return fail(fault.New(fault.TooLarge, "the body has %d bytes, the limit is %d", len(q.request.Body), limit))
 	}
-	if f := q.admit(q.ctx); f != nil {
+	if f := q.admit(); f != nil {
 		return fail(f)
 	}
 	q.admitted = true
@@ -483,6 +487,9 @@
 
 // hedge asks another target for a part that is overdue.
 func (q *run) hedge(p *part, now time.Time) {
+	if q.route.Fanout() && q.crowded(p) {
+		return
+	}
 	c := q.choose(p, now)
 	if c == nil {
 		return
--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -191,16 +191,18 @@
 func TestGroupThatTargetsRefused(t *testing.T) {
 	for _, one := range []struct {
 		name    string
+		status  int
 		offered bool
 		spent   float64
 	}{
-		{name: "refused by targets", offered: true, spent: 1},
-		{name: "not offered"},
+		{name: "refused by targets", status: http.StatusServiceUnavailable, offered: true, spent: 1},
+		{name: "not offered", status: http.StatusServiceUnavailable},
+		{name: "no room", status: http.StatusTooManyRequests},
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			withFleet(t, func(l *fleet) {
 				l.regional(func(*Request) (*Answer, error) {
-					return &Answer{Status: http.StatusServiceUnavailable, Offered: one.offered}, nil
+					return &Answer{Status: one.status, Offered: one.offered}, nil
 				})
 				part := []*part{{service: "s01"}}
 				before := l.engine.budgets.least(part)
--- a/relay/silent.go
+++ b/relay/silent.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,7 +42,7 @@
 func (p *probes) keep(known func(string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.last, func(g string, _ time.Time) bool { return !known(g) })
+	maps.DeleteFunc(p.last, func(g string, _ time.Time) bool { return !known(strings.TrimPrefix(g, shardsOf)) })
 }
 
 // Blocked tells when a request could not be served since too few of its targets answer.
