relay, cmds: losses by reason

What was missing: hosts' lines told which targets were asked for a shard that is left out, not why no other one was, and nothing summed them up.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -27,6 +27,7 @@
 	Status   StatusCmd   `cmd:"" help:"Show hosts, data centres, targets and changes in force."`
 	Explain  ExplainCmd  `cmd:"" help:"Show how a host routes a query: the replicas, their keepers and why."`
 	Trace    TraceCmd    `cmd:"" help:"Print what the logs of several hosts say of one request."`
+	Losses   LossesCmd   `cmd:"" help:"Sum what hosts' logs say of answers that were late, refused, failed or left shards out, by reason."`
 	Load     LoadCmd     `cmd:"" help:"Send queries at random times and report latency, coverage, extra load and refusals."`
 	Docs     DocsCmd     `cmd:"" hidden:"" help:"Print a generated page."`
 	Version  VersionCmd  `cmd:"" help:"Print the version."`
--- a/cmds/trace.go
+++ b/cmds/trace.go
@@ -39,7 +39,7 @@
 
 // Run prints the request's lines in the order of their times; lines that can't be read are counted.
 func (c *TraceCmd) Run(out io.Writer, progress Progress) error {
-	lines, broken, err := c.read(progress)
+	lines, broken, err := readLogs(c.Files, progress)
 	if err != nil {
 		return err
 	}
@@ -58,12 +58,12 @@
 	return nil
 }
 
-// read reads all files; one that can't be opened is told of and passed over.
-func (c *TraceCmd) read(progress Progress) (lines []logLine, broken int, err error) {
-	if len(c.Files) == 0 {
+// readLogs reads all files, standard input where there are none; a file that can't be opened is told of and passed over.
+func readLogs(files []string, progress Progress) (lines []logLine, broken int, err error) {
+	if len(files) == 0 {
 		return readLog(os.Stdin)
 	}
-	for _, name := range c.Files {
+	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
 			fmt.Fprintln(progress, "passed over:", err)
--- a/relay/report.go
+++ b/relay/report.go
@@ -113,6 +113,12 @@
 		zap.Int("retries", q.retries),
 		zap.Float64("budget", e.budgets.least(q.parts)),
 	}
+	if q.request.Shards != nil {
+		fields = append(fields, zap.Bool("group", true))
+	}
+	if lost := q.losses(); lost != "" && q.route.Fanout() && q.admitted {
+		fields = append(fields, zap.String("lost", lost))
+	}
 	if q.request.Origin != "" {
 		fields = append(fields, zap.String("origin", q.request.Origin))
 	}
--- a/relay/run.go
+++ b/relay/run.go
@@ -93,6 +93,8 @@
 	elsewhere bool
 	// offered says that another host has asked targets for the part, which refused it.
 	offered bool
+	// unhedged is why the part's overdue target was not hedged.
+	unhedged string
 	// full says that a target was left out because this host has enough under way there.
 	full bool
 }
@@ -488,16 +490,24 @@
 // hedge asks another target for a part that is overdue.
 func (q *run) hedge(p *part, now time.Time) {
 	if q.route.Fanout() && q.crowded(p) {
+		p.leave(lossLoad)
 		return
 	}
 	c := q.choose(p, now)
 	if c == nil {
+		p.leave(lossOnly)
 		return
 	}
 	expected := now.Add(c.estimate)
 	// A part that comes after the answer helps nobody.
 	useless := q.route.Fanout() && now.Before(q.aim) && expected.After(q.aim)
-	if useless || expected.After(q.end) || !q.pay(p) {
+	if useless || expected.After(q.end) {
+		p.leave(lossLate)
+		q.engine.release(c)
+		return
+	}
+	if !q.pay(p) {
+		p.leave(lossBudget)
 		q.engine.release(c)
 		return
 	}
