pool: an answer that is cut at its bound is too long, whatever its parser says

The cut is now named as such, and the target left out. TestAnswerThatIsCutAtItsBoundIsTooLong fails on the code before for a head of many fields.

--- a/pool/bound.go
+++ b/pool/bound.go
@@ -64,6 +64,14 @@
 	return n, err
 }
 
+// explain returns an error that says so where reading failed because nothing more was read: a parser takes the cut for a fault of the text.
+func (l *limited) explain(err error) error {
+	if l.left > 0 || errors.Is(err, ErrTooLong) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrTooLong, err)
+}
+
 // firstPiece and mostPiece bound the pieces in which a body of unknown length is read.
 const (
 	firstPiece = 2 << 10
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -216,7 +216,7 @@
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, false, err
+			return nil, false, c.limited.explain(err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
@@ -227,7 +227,7 @@
 		c.limited.left = bounds.Body + bounds.Head
 		body, err := p.memory.readBody(resp.Body, resp.ContentLength, bounds.Body)
 		if err != nil {
-			return nil, false, err
+			return nil, false, c.limited.explain(err)
 		}
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, framed && !resp.Close, nil
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// TestAnswerThatIsCutAtItsBoundIsTooLong tells answers without end from malformed ones, whatever part of them doesn't end.
+func TestAnswerThatIsCutAtItsBoundIsTooLong(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status line": "HTTP/1.1 200 " + strings.Repeat("O", 1<<20),
+		"field":       "HTTP/1.1 200 OK\r\nX-Field: " + strings.Repeat("x", 1<<20),
+		"fields":      "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Field: x\r\n", 1<<17),
+		"interim":     strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<15),
+		"length":      "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n",
+		"body":        "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 5<<20),
+		"size":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("0", 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, p := withTarget(t, answer), withPool(t)
+			_, err := ask(p, s, Request{})
+			require.ErrorIs(t, err, ErrTooLong)
+		})
+	}
+}
+
 func withPool(t *testing.T) *Pool {
 	p := New(timer.New(), DefaultMemory, tally.NoopScope)
 	t.Cleanup(p.Close)
