relay: repeats, hedges and sub-requests have files of their own

run.go holds the loop of a request; repeat.go when a target is asked again, hedge.go when another one is, flight.go how a sub-request goes out and what its end says of the target. No change of behaviour; relay's tests and the soak's guard for requests that may not be repeated name the new file.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -18,8 +18,6 @@
 	leastRoom = 2
 	// comeBack is the time after which a caller finds room again, if the load doesn't last: that of a few answers.
 	comeBack = 150 * time.Millisecond
-	// hedgeRoom is the part of the room from which no hedges are sent: what they add then delays more answers than they save.
-	hedgeRoom = 0.25
 )
 
 // load counts the sub-requests under way to groups of services that are not overdue: those that are wait for a target, not for room.
@@ -210,8 +208,3 @@
 	q.reserved = len(q.parts)
 	return nil
 }
-
-// crowded reports whether so much is under way that hedges would do harm.
-func (q *run) crowded(p *part) bool {
-	return float64(q.engine.load.read(groupOf(q.route, p))) > hedgeRoom*q.allowed
-}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -56,19 +56,3 @@
 	known := e.beliefs.View().Entries[t.ID]
 	return known != nil && !known.Draining && !e.beliefs.Out(t.Datacentre) && !e.bars(t, e.clock.Now())
 }
-
-// lastHedge returns the latest time at which another target of a part can still be asked to answer by the objective, or a time after it where that is too soon to tell anything.
-func (q *run) lastHedge(p *part, first *roster.Entry, now time.Time) time.Time {
-	if len(p.flights) > 0 {
-		return q.end
-	}
-	other := q.fastest(p, now, func(t *roster.Entry) bool { return t.ID != first.ID })
-	if other == nil {
-		return q.end
-	}
-	last := q.aim.Add(-q.engine.rank(other).Estimate(now, other.Slots) - hedgeMargin)
-	if last.Sub(now) < q.engine.rank(first).Usual() {
-		return q.end
-	}
-	return last
-}
--- a/relay/run.go
+++ b/relay/run.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"kingcupcross/fault"
 	"kingcupcross/pool"
-	"kingcupcross/rank"
 	"kingcupcross/roster"
 	"kingcupcross/route"
 )
@@ -22,18 +20,6 @@
 	loserLinger = 300 * time.Millisecond
 	// goneLinger is the same after the caller has left.
 	goneLinger = 200 * time.Millisecond
-	// hedgeMargin is the time before the last moment for a hedge at which it is sent, for the jitter of its way and work.
-	hedgeMargin = 8 * time.Millisecond
-	// recheck is the time after which a hedge that was not possible is thought of again.
-	recheck = 10 * time.Millisecond
-	// waitStep is the time after which a target is looked for again where this host has as much under way at each as it may: about that of a short sub-request.
-	waitStep = 4 * time.Millisecond
-	// repeatDelay is the time before a target that failed is asked again, doubled with each sub-request.
-	repeatDelay = 5 * time.Millisecond
-	// earlyShare is the part of the latency objective within which a request that nobody has begun is given up on.
-	earlyShare = 4
-	// repeats bounds the sub-requests of a part beyond the number of targets that it may be sent to.
-	repeats = 2
 )
 
 // run is one request on its way; one goroutine owns it.
@@ -99,20 +85,6 @@
 	full bool
 }
 
-// flight is one sub-request.
-type flight struct {
-	part  *part
-	to    *roster.Entry
-	rank  *rank.Rank
-	mark  *rank.Flight
-	sent  time.Time
-	ended bool
-	// unloaded says that the flight no longer counts as load.
-	unloaded bool
-	// check is when a hedge is thought of.
-	check time.Time
-}
-
 type result struct {
 	flight *flight
 	reply  *Reply
@@ -163,17 +135,6 @@
 	return max(len(q.parts)-whole+q.route.Needed(whole), 1)
 }
 
-// dialTries is the number of targets that can't be reached and don't count as attempts.
-const dialTries = 4
-
-// unload takes a sub-request that has ended or is overdue out of the load, once.
-func (q *run) unload(f *flight) {
-	if !f.unloaded {
-		f.unloaded = true
-		q.engine.load.add(groupOf(q.route, f.part), -1)
-	}
-}
-
 // finish ends what is still under way after a while, so that short work keeps its connection.
 func (q *run) finish() {
 	for _, p := range q.parts {
@@ -369,42 +330,6 @@
 	q.again(p, notRun)
 }
 
-// final reports whether a reply ends its part: a success, or for a request to one service also a refusal that another target would repeat.
-func (q *run) final(r *Reply) bool {
-	if r.Success() {
-		return true
-	}
-	return !q.route.Fanout() && !r.NotRun && !r.Misplaced && r.Status >= 300 && r.Status < 500 && r.Status != 408 && r.Status != 429
-}
-
-// again asks another target after a failure, or the same one a little later where there is no other, if that is allowed.
-func (q *run) again(p *part, notRun bool) {
-	now := q.engine.clock.Now()
-	if notRun || q.route.Idempotent {
-		c := q.choose(p, now)
-		if c != nil && now.Before(q.end) && q.pay(p) {
-			q.retries++
-			q.launch(p, c, now)
-			return
-		}
-		q.engine.release(c)
-	}
-	if p.open() > 0 {
-		return
-	}
-	at := now.Add(repeatDelay << (len(p.flights) - 1))
-	if (notRun || q.route.Idempotent) && q.worthwhile(at) && q.mayRepeat(p, now) {
-		p.retryAt = at
-		return
-	}
-	q.lose(p)
-}
-
-// worthwhile reports whether a sub-request may still be sent at a time: a request that no target has begun is refused early enough to come back in time.
-func (q *run) worthwhile(at time.Time) bool {
-	return at.Before(q.end) && (q.mayHaveRun() || at.Sub(q.start) < q.route.Aim/earlyShare)
-}
-
 // open returns the number of sub-requests under way.
 func (p *part) open() int {
 	n := 0
@@ -416,39 +341,6 @@
 	return n
 }
 
-// repeat asks a target again whose time has come.
-func (q *run) repeat(p *part, now time.Time) {
-	p.retryAt = time.Time{}
-	if len(p.flights) == 0 {
-		// The part waits for room at its targets.
-		switch c := q.choose(p, now); {
-		case c != nil:
-			q.begin(p, c, now)
-		case p.full && q.worthwhile(now):
-			p.retryAt = now.Add(waitStep)
-		default:
-			q.lose(p)
-		}
-		return
-	}
-	c := q.repeated(p, now)
-	switch {
-	case c == nil && p.full && q.worthwhile(now):
-		p.retryAt = now.Add(waitStep)
-	case c == nil || !q.pay(p):
-		q.engine.release(c)
-		q.lose(p)
-	default:
-		q.retries++
-		q.launch(p, c, now)
-	}
-}
-
-// pay takes a sub-request from the budget unless none has reached a target of the part yet.
-func (q *run) pay(p *part) bool {
-	return (p.reached == 0 && !p.offered) || q.engine.budgets.spend(p.service)
-}
-
 // tick asks again for the parts that are overdue or whose time to be repeated has come.
 func (q *run) tick(now time.Time) {
 	for _, p := range q.parts {
@@ -471,114 +363,3 @@
 		}
 	}
 }
-
-// only returns the flight that the part waits for, or nil where there are several.
-func (p *part) only() *flight {
-	var open *flight
-	for _, f := range p.flights {
-		switch {
-		case f.ended:
-		case open != nil:
-			return nil
-		default:
-			open = f
-		}
-	}
-	return open
-}
-
-// hedge asks another target for a part that is overdue.
-func (q *run) hedge(p *part, now time.Time) {
-	if q.route.Fanout() && q.crowded(p) {
-		p.leave(lossLoad)
-		return
-	}
-	c := q.choose(p, now)
-	if c == nil {
-		p.leave(lossOnly)
-		return
-	}
-	expected := now.Add(c.estimate)
-	// A part that comes after the answer helps nobody.
-	useless := q.route.Fanout() && now.Before(q.aim) && expected.After(q.aim)
-	if useless || expected.After(q.end) {
-		p.leave(lossLate)
-		q.engine.release(c)
-		return
-	}
-	if !q.pay(p) {
-		p.leave(lossBudget)
-		q.engine.release(c)
-		return
-	}
-	q.hedges++
-	q.launch(p, c, now)
-}
-
-// begin sends the first sub-request of a part.
-func (q *run) begin(p *part, c *claim, now time.Time) {
-	q.engine.budgets.earn(p.service)
-	q.launch(p, c, now)
-}
-
-// launch sends a sub-request with a claim.
-func (q *run) launch(p *part, c *claim, now time.Time) {
-	e, to, r := q.engine, c.to, c.rank
-	f := &flight{
-		part:  p,
-		to:    to,
-		rank:  r,
-		mark:  r.BeginReserved(now),
-		sent:  now,
-		check: now.Add(r.Overdue(now)),
-	}
-	if q.route.Fanout() {
-		if last := q.lastHedge(p, to, now); last.Before(f.check) {
-			f.check = last
-		}
-	}
-	if !slices.Contains(p.asked, to.ID) {
-		p.asked = append(p.asked, to.ID)
-	}
-	q.noteLeaving(f)
-	p.reached++
-	p.flights = append(p.flights, f)
-	q.loadOne(p)
-	sub := Sub{
-		Deadline: q.end,
-		Fresh:    !q.route.Idempotent,
-		Bounds:   q.bounds(),
-		Keep:     e.keep(q.config.Services[p.service]),
-		Wanted:   func() bool { return e.serves(to) },
-		Heard:    func(w Word) { e.hear(to, w) },
-	}
-	go func() {
-		reply, err := e.send(q.work, to, q.request, sub)
-		r.End(f.mark, e.clock.Now(), verdict(q.work, reply, err))
-		q.results <- result{flight: f, reply: reply, err: err}
-	}()
-}
-
-// verdict returns what a result says of the target.
-func verdict(work context.Context, reply *Reply, err error) rank.Outcome {
-	var lost *pool.Error
-	switch {
-	case err != nil && work.Err() != nil, errors.Is(err, pool.ErrUnwanted):
-		return rank.Dropped
-	case errors.As(err, &lost) && !lost.Sent:
-		return rank.Dead
-	case errors.Is(err, pool.ErrTooLong):
-		// What sends bytes without end is no more use than what can't be reached.
-		return rank.Dead
-	case errors.As(err, &lost) && lost.Late:
-		return rank.Unanswered
-	case err != nil:
-		return rank.Failed
-	case reply.Misplaced:
-		return rank.Dead
-	case reply.NotRun || reply.Status >= 500 || (reply.Status < 300 && !reply.Success()):
-		return rank.Failed
-	default:
-		return rank.Answered
-	}
-}
--- a/soak/guards_test.go
+++ b/soak/guards_test.go
@@ -20,7 +20,7 @@
 }{
 	{
 		name:    "what may not be repeated is sent once",
-		file:    "relay/run.go",
+		file:    "relay/repeat.go",
 		from:    "if notRun || q.route.Idempotent {\n",
 		to:      "if true {\n",
 		promise: "ran 2 times",
