relay, platform, meter: rate limits that targets state are read, logged and counted

Nothing in logs or metrics showed that a target had named a request rate, so the hypotheses of docs/incidents/2026-12-04-server-limit.md couldn't be told apart. The statement is read from every response (the lowest of several values; malformed ones are ignored, counted and logged; another target's or an earlier request's response doesn't end a limit), changes are logged, and sub-requests to a limited target are counted by reason and by whose caller they are for. No decision depends on it yet.

--- a/meter/names.go
+++ b/meter/names.go
@@ -34,6 +34,8 @@
 	{Name: "relay_quiet_targets", Kind: Counter, Help: "times that a target said for how long it wants nothing from this host"},
 	{Name: "relay_words_ignored", Kind: Counter, Help: "answers in which a target said something of itself that has no meaning"},
 	{Name: "relay_targets_leaving_by_word", Kind: Gauge, Help: "targets that are taken for leaving at their own word"},
+	{Name: "relay_rate_limit_changes", Kind: Counter, Labels: "origin", Help: "rate limits of targets that were stated, changed or ended, by who told this host: the target or another host"},
+	{Name: "relay_rate_limited_sends", Kind: Counter, Labels: "caller, reason", Help: "sub-requests sent to a target that states a rate limit: the first of a shard, hedges and retries, for this host's own callers or for another host"},
 	{Name: "relay_targets_quiet", Kind: Gauge, Help: "targets that want nothing from this host at the moment"},
 	{Name: "relay_limits_share", Kind: Gauge, Help: "part of the limits over all hosts that this host may use"},
 	{Name: "coord_hosts", Kind: Gauge, Help: "hosts that are known"},
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -107,7 +107,7 @@
 				q.sendFirst(p, res, now)
 			case q.spendBudget(p):
 				q.retries++
-				q.send(p, res, now)
+				q.send(p, res, now, reasonRetry)
 			default:
 				e.release(res)
 				q.markLost(p)
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -65,6 +65,7 @@
 	cold                 *coldLimiter
 	probes               probeLimiter
 	notices              noticeStore
+	rates                rateLimiter
 	unresponsiveRefusals chan struct{}
 	log                  *zap.Logger
 	scope                tally.Scope
@@ -144,6 +145,10 @@
 	e.estimators.Retain(func(id string) bool { return view.Entries[id] != nil })
 	e.cold.retain(func(id string) bool { return view.Entries[id] != nil })
 	e.notices.prune(view, e.clock.Now())
+	e.rates.retain(func(r *targetRate) bool {
+		entry := view.Entries[r.id]
+		return entry != nil && entry.Born.Equal(r.born)
+	})
 	e.updateNoticeGauges()
 	if c := e.state.Config(); c != nil {
 		known := func(s string) bool {
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -55,7 +55,7 @@
 		return
 	}
 	q.hedges++
-	q.send(p, res, now)
+	q.send(p, res, now, reasonHedge)
 }
 
 // latestHedgeTime returns the latest time at which another target can be asked and still answer by the objective. It returns the deadline if there is no other target, if the part has a sub-request already, or if that time is too early to tell whether the first target is slow.
--- a/relay/notices.go
+++ b/relay/notices.go
@@ -37,6 +37,8 @@
 	Leaving bool
 	// Backoff is how long the target asks this host to send nothing; zero if it did not ask.
 	Backoff time.Duration
+	// Rate is what the target says about its rate limit.
+	Rate StatedRate
 	// AnsweredBy is the id of the target that answered instead of the one that was asked, empty if that one answered.
 	AnsweredBy string
 	// Malformed describes a header value that could not be parsed.
@@ -155,8 +157,8 @@
 	return time.Time{}
 }
 
-// handleNotice processes the notice in the headers of a response.
-func (e *Engine) handleNotice(t *roster.Entry, n TargetNotice) {
+// handleNotice processes the notice in the headers of the response to a sub-request that was sent at sentAt.
+func (e *Engine) handleNotice(t *roster.Entry, n TargetNotice, sentAt time.Time) {
 	now := e.clock.Now()
 	if n.Malformed != "" {
 		e.scope.Counter("words_ignored").Inc(1)
@@ -170,6 +172,7 @@
 		}
 		t = other
 	}
+	e.recordStatedRate(t, n.Rate, sentAt, now)
 	if n.Leaving {
 		e.recordLeaving(t.ID, leavingNotice{
 			born:   t.Born,
--- a/relay/notices_test.go
+++ b/relay/notices_test.go
@@ -19,7 +19,7 @@
 
 // notify delivers a notice of the n-th target of a service to the engine.
 func (l *testCluster) notify(service string, n int, notice TargetNotice) {
-	l.engine.handleNotice(l.targetEntry(service, n), notice)
+	l.engine.handleNotice(l.targetEntry(service, n), notice, time.Now())
 }
 
 // restartTarget replaces a target by a later process with the same id.
--- a/relay/repeat.go
+++ b/relay/repeat.go
@@ -30,7 +30,7 @@
 		res := q.reserveNewTarget(p, now)
 		if res != nil && now.Before(q.deadline) && q.spendBudget(p) {
 			q.retries++
-			q.send(p, res, now)
+			q.send(p, res, now, reasonRetry)
 			return
 		}
 		q.engine.release(res)
@@ -75,7 +75,7 @@
 		q.markLost(p)
 	default:
 		q.retries++
-		q.send(p, res, now)
+		q.send(p, res, now, reasonRetry)
 	}
 }
 
--- a/relay/sub_request.go
+++ b/relay/sub_request.go
@@ -41,11 +41,11 @@
 // sendFirst sends the first sub-request of a part and credits the budget of its service.
 func (q *query) sendFirst(p *part, res *reservation, now time.Time) {
 	q.engine.budgets.earn(p.service)
-	q.send(p, res, now)
+	q.send(p, res, now, reasonFirst)
 }
 
 // send sends a sub-request for a part with a reservation. The result arrives on q.results.
-func (q *query) send(p *part, res *reservation, now time.Time) {
+func (q *query) send(p *part, res *reservation, now time.Time, reason sendReason) {
 	e, target, estimator := q.engine, res.target, res.estimator
 	sub := &subRequest{
 		part:      p,
@@ -64,6 +64,7 @@
 		p.askedTargets = append(p.askedTargets, target.ID)
 	}
 	q.reportLeavingTarget(sub)
+	q.reportRateLimitedSend(target, reason)
 	p.reached++
 	p.subRequests = append(p.subRequests, sub)
 	q.countInFlight(p)
@@ -73,7 +74,7 @@
 		Bounds:       q.responseBounds(),
 		MaxIdleConns: e.maxIdleConns(q.config.Services[p.service]),
 		StillAllowed: func() bool { return e.mayStillSend(target) },
-		OnNotice:     func(n TargetNotice) { e.handleNotice(target, n) },
+		OnNotice:     func(n TargetNotice) { e.handleNotice(target, n, now) },
 	}
 	go func() {
 		reply, err := e.send(q.subCtx, target, q.request, options)
