relay: hosts keep to the request rate that a target states

Cause: what a target states of its rate was not read, and no decision of the engine could depend on it.

Change: a token bucket for each limited target, filled at this host's share of the limits over all hosts. The token is taken in the reservation, through which every sub-request goes (first ones, hedges, retries, those for other hosts), or before the send where the limit was stated while the sub-request waited for its connection, and given back where nothing is sent. Shards at their limit are left out or the request is refused at once; refused callers are told to return one after the other, as tokens come. Admission counts what a limited target can answer by the objective. One token is kept for hedges where several can be saved.

--- a/coord/rate_limit_test.go
+++ b/coord/rate_limit_test.go
@@ -242,17 +242,6 @@
 	require.LessOrEqual(c.t, float64(most), allowed, "requests to %s within %s, of a limit of %g/s", id, rateWindow, perSecond)
 }
 
-// arrivalsBetween returns the number of requests that reached a target between two times.
-func (c *rateFleet) arrivalsBetween(id string, from, to time.Duration) int {
-	n := 0
-	for _, at := range c.targets[id].arrivals {
-		if at >= from && at < to {
-			n++
-		}
-	}
-	return n
-}
-
 // TestHostsKeepRateLimitOfTargetTogether guards against hosts that ignore the rate limit that a target states for all hosts together, or each keep it alone.
 func TestHostsKeepRateLimitOfTargetTogether(t *testing.T) {
 	const from, to = 2 * time.Second, 20 * time.Second
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -158,7 +158,12 @@
 	now := q.engine.clock.Now()
 	for _, p := range q.parts {
 		for _, t := range q.engine.usableTargets(p.service, now) {
-			total += float64(maxInFlightPerSlot * t.Slots)
+			inFlight := float64(maxInFlightPerSlot * t.Slots)
+			if perSecond, limited := q.engine.statedRate(t); limited {
+				// More in flight can't all be answered by the objective.
+				inFlight = min(inFlight, perSecond*q.route.Aim.Seconds())
+			}
+			total += inFlight
 		}
 	}
 	return total * q.engine.state.SlotsShare()
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -33,21 +33,32 @@
 	return slices.Contains(p.askedTargets, t.ID)
 }
 
-// fastestTarget returns the eligible target of a part that is expected to answer first, or nil.
+// fastestTarget returns the eligible target of a part that is expected to answer first, or nil. Of a target with a rate limit, the last sub-request allowed is left for parts that no other target is expected to answer by the objective.
 func (q *query) fastestTarget(p *part, now time.Time, eligible func(*roster.Entry) bool) *roster.Entry {
 	e := q.engine
 	service := q.config.Services[p.service]
-	var best *roster.Entry
-	var shortest time.Duration
+	var best, bestLast *roster.Entry
+	var shortest, shortestLast time.Duration
 	// The current roster is used, so that targets removed since the request began are not chosen.
 	for _, t := range e.usableTargets(p.service, now) {
 		if e.resumingAndBusy(t, now) || !q.route.Allows(t.Region) || e.state.DatacentreOut(t.Datacentre) || !e.cold.allows(t, service, now) || !eligible(t) {
 			continue
 		}
-		if estimate := e.estimatorOf(t).Estimate(now, t.Slots); best == nil || estimate < shortest {
-			best, shortest = t, estimate
+		estimate := e.estimatorOf(t).Estimate(now, t.Slots)
+		switch e.rateStateOf(t, now) {
+		case rateOpen:
+			if best == nil || estimate < shortest {
+				best, shortest = t, estimate
+			}
+		case rateLast:
+			if bestLast == nil || estimate < shortestLast {
+				bestLast, shortestLast = t, estimate
+			}
 		}
 	}
+	if bestLast != nil && (best == nil || (shortestLast < shortest && now.Add(shortest).After(q.objective))) {
+		return bestLast
+	}
 	return best
 }
 
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -28,7 +28,8 @@
 	}
 	byDatacentre := map[string]*delegation{}
 	for i, res := range reserved {
-		if res == nil || res.target.Datacentre == e.location.Datacentre || res.target.Region != e.location.Region {
+		// What a rate limit allows this host is not passed on.
+		if res == nil || res.limit != nil || res.target.Datacentre == e.location.Datacentre || res.target.Region != e.location.Region {
 			continue
 		}
 		g := byDatacentre[res.target.Datacentre]
--- a/relay/notices.go
+++ b/relay/notices.go
@@ -303,10 +303,14 @@
 	return first
 }
 
-// withBackoffRetry sets the fault's retry delay to the end of the backoff that prevents the request, if there is one.
-func (q *query) withBackoffRetry(f *fault.Error, now time.Time) *fault.Error {
-	if end := q.backoffEnd(now); end.After(now) {
-		return f.WithRetry(end.Sub(now))
+// withTargetRetry sets the fault's retry delay to the end of the backoffs or to the time at which the rate limits that prevent the request allow it, if that is the reason.
+func (q *query) withTargetRetry(f *fault.Error, now time.Time) *fault.Error {
+	at := q.backoffEnd(now)
+	if rateAt := q.rateRetryAt(now); rateAt.After(at) {
+		at = rateAt
+	}
+	if at.After(now) {
+		return f.WithRetry(at.Sub(now))
 	}
 	return f
 }
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -27,7 +27,7 @@
 	}
 	f := fault.New(fault.Failed, "%d of %d shards can't be had, %d are needed; last: %s", q.lost, len(q.parts), q.needed, q.lastCause)
 	if !q.mayHaveRun() {
-		f = q.withBackoffRetry(fault.New(fault.Overload, "no target took the request; last: %s", q.lastCause), q.engine.clock.Now())
+		f = q.withTargetRetry(fault.New(fault.Overload, "no target took the request; last: %s", q.lastCause), q.engine.clock.Now())
 	}
 	return faultAnswer(f)
 }
--- a/relay/preconnect.go
+++ b/relay/preconnect.go
@@ -66,7 +66,7 @@
 					return found
 				}
 				// A cold target is busy starting up and would be slowed down.
-				if !r.Allows(t.Region) || e.state.DatacentreOut(t.Datacentre) || now.Before(t.ColdUntil) || e.estimatorOf(t).Outstanding() > 0 || e.estimatorOf(t).Unresponsive(now) || isConnected(t.Address) {
+				if !r.Allows(t.Region) || e.state.DatacentreOut(t.Datacentre) || now.Before(t.ColdUntil) || e.estimatorOf(t).Outstanding() > 0 || e.estimatorOf(t).Unresponsive(now) || e.rateStateOf(t, now) == rateClosed || isConnected(t.Address) {
 					continue
 				}
 				found = append(found, t)
--- a/relay/query.go
+++ b/relay/query.go
@@ -177,7 +177,7 @@
 	if reachable < q.needed {
 		e.release(reserved...)
 		f := fault.New(fault.NoReplica, "%d of %d shards have a target, %d are needed", reachable, len(q.parts), q.needed)
-		return faultAnswer(q.withBackoffRetry(f, now))
+		return faultAnswer(q.withTargetRetry(f, now))
 	}
 	if responsive := q.responsiveParts(reserved, now); responsive < q.needed && !e.probes.allow(loadGroup(q.route, q.parts[0]), now) {
 		e.release(reserved...)
--- a/relay/reservation.go
+++ b/relay/reservation.go
@@ -19,6 +19,8 @@
 	estimate time.Duration
 	// reservedAt is the time under which the cold limiter has counted the sub-request.
 	reservedAt time.Time
+	// limit is the rate limit towards which the sub-request counts, nil if it doesn't.
+	limit *targetRate
 }
 
 // reserveFastest reserves a sub-request at the eligible target of a part that is expected to answer first, or returns nil. It sets p.saturated if one of the targets was saturated.
@@ -62,6 +64,10 @@
 		estimator.Release()
 		return nil, false
 	}
+	if !e.takeRate(res, now) {
+		e.release(res)
+		return nil, false
+	}
 	return res, false
 }
 
@@ -71,6 +77,7 @@
 		if res != nil {
 			res.estimator.Release()
 			e.cold.refund(res.target, res.reservedAt)
+			res.refundRate()
 		}
 	}
 }
--- a/relay/sub_request.go
+++ b/relay/sub_request.go
@@ -73,11 +73,16 @@
 		NewConn:      !q.route.Idempotent,
 		Bounds:       q.responseBounds(),
 		MaxIdleConns: e.maxIdleConns(q.config.Services[p.service]),
-		StillAllowed: func() bool { return e.mayStillSend(target) },
+		// The target may have stated a limit since the reservation.
+		StillAllowed: func() bool { return e.mayStillSend(target) && e.takeRate(res, e.clock.Now()) },
 		OnNotice:     func(n TargetNotice) { e.handleNotice(target, n, now) },
 	}
 	go func() {
 		reply, err := e.send(q.subCtx, target, q.request, options)
+		var poolErr *pool.Error
+		if errors.As(err, &poolErr) && !poolErr.Sent {
+			res.refundRate()
+		}
 		estimator.End(sub.pending, e.clock.Now(), rankOutcome(q.subCtx, reply, err))
 		q.results <- result{sub: sub, reply: reply, err: err}
 	}()
