coord, front, relay: hosts lease shares of a target's rate limit by their demand

Callers saw fewer answers than the targets allowed: with equal shares, hosts without callers leave theirs unused, and a limit of 3 a second can't be used by any of nine hosts (0.27 a second each, below the lowest rate that a host uses).

Cause: a limit over all hosts was divided by the number of hosts, whatever they need. A share is a fraction of the limit, so that a lower limit holds at once. Where shares would be too small, hosts with less demand get none. Without a lease the equal share holds. Calls are made only by hosts with demand for limited targets; hosts of earlier versions don't know the call and are passed over.

--- /dev/null
+++ b/coord/export_test.go
@@ -0,0 +1,4 @@
+package coord
+
+// RateOwners is rateOwners, for tests.
+var RateOwners = rateOwners
--- a/front/front.go
+++ b/front/front.go
@@ -26,6 +26,7 @@
 	"kingcupcross/platform"
 	"kingcupcross/pool"
 	"kingcupcross/relay"
+	"kingcupcross/roster"
 	"kingcupcross/timer"
 	"kingcupcross/wire"
 )
@@ -59,6 +60,7 @@
 	follow       *follow.Follower
 	engine       *relay.Engine
 	coord        *coord.Coord
+	rateShares   *coord.RateShares
 	store        *platform.Store
 	dialer       *wire.Dialer
 	pool         *pool.Pool
@@ -114,6 +116,7 @@
 		Config:        f.follow.Config,
 		View:          f.follow.View,
 	}, l.For("coord"), m.Scope.SubScope("coord"))
+	f.rateShares = coord.NewRateShares(clock, f.coord, f.askRateShares, func(all []roster.RateLimit) { f.engine.LearnRateLimits(all) }, l.For("coord"), m.Scope.SubScope("coord"))
 	f.engine = relay.New(clock, relay.Location{
 		Datacentre: c.Datacentre,
 		Region:     c.Region,
@@ -123,6 +126,7 @@
 		DatacentreOut: f.follow.DatacentreOut,
 		LimitsShare:   f.coord.LimitShare,
 		SlotsShare:    f.coord.SlotShare,
+		RateShare:     f.rateShares.Share,
 	}, relay.Limits{
 		ExtraShare:     c.Extra,
 		ExtraSlack:     c.Slack,
@@ -171,6 +175,7 @@
 	f.addLoop(&group, f.follow.RunTargets)
 	f.addLoop(&group, f.sweep)
 	f.addLoop(&group, f.warmConnections)
+	f.addLoop(&group, f.renewRateShares)
 	f.addLoop(&group, f.keepRegistered)
 	f.addLoop(&group, f.greetHosts)
 	f.addLoop(&group, f.watchCutOff)
--- a/front/members.go
+++ b/front/members.go
@@ -39,6 +39,9 @@
 	if err := s.Register(follow.ServiceName, follow.NewService(f.follow, f.coord.Members, f.engine.LeavingTargets)); err != nil {
 		return err
 	}
+	if err := s.Register(coord.RateServiceName, coord.NewRateService(f.rateShares)); err != nil {
+		return err
+	}
 	group.Add(s.Serve, func(error) { s.Close() })
 	return nil
 }
--- a/meter/names.go
+++ b/meter/names.go
@@ -38,6 +38,8 @@
 	{Name: "relay_rate_limited_sends", Kind: Counter, Labels: "caller, reason", Help: "sub-requests sent to a target that states a rate limit: the first of a shard, hedges and retries, for this host's own callers or for another host"},
 	{Name: "relay_targets_quiet", Kind: Gauge, Help: "targets that want nothing from this host at the moment"},
 	{Name: "relay_limits_share", Kind: Gauge, Help: "part of the limits over all hosts that this host may use"},
+	{Name: "coord_rate_leases", Kind: Gauge, Help: "targets with a rate limit of which this host holds a share by lease"},
+	{Name: "coord_rate_share_failures", Kind: Counter, Help: "calls for shares of rate limits that a host gave no answer to"},
 	{Name: "coord_hosts", Kind: Gauge, Help: "hosts that are known"},
 	{Name: "coord_forwarded", Kind: Counter, Help: "requests that a coordinator answered"},
 	{Name: "coord_aside", Kind: Counter, Help: "requests that a coordinator didn't take: it was starting or had an older configuration"},
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -33,6 +33,8 @@
 	LimitsShare func() float64
 	// SlotsShare returns the fraction of the targets' slots that this host may fill, above 0 and at most 1.
 	SlotsShare func() float64
+	// RateShare returns the fraction of the rate limit that a target's process states which this host may use; nil means LimitsShare.
+	RateShare func(target string, born time.Time) float64
 }
 
 // Limits are bounds that hold for all hosts together.
--- a/relay/query.go
+++ b/relay/query.go
@@ -175,6 +175,7 @@
 		}
 	}
 	if reachable < q.needed {
+		q.countRateDemand(nil)
 		e.release(reserved...)
 		f := fault.New(fault.NoReplica, "%d of %d shards have a target, %d are needed", reachable, len(q.parts), q.needed)
 		return faultAnswer(q.withTargetRetry(f, now))
@@ -186,6 +187,7 @@
 		return faultAnswer(fault.New(fault.NoReplica, "%d of %d shards have a target that answers, %d are needed", responsive, len(q.parts), q.needed).WithRetry(unresponsiveRetryAfter))
 	}
 	delegated := q.delegate(reserved)
+	q.countRateDemand(delegated)
 	for i, p := range q.parts {
 		switch {
 		case reserved[i] == nil && p.saturated:
--- a/relay/rate_limit.go
+++ b/relay/rate_limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,10 @@
 	// tokens pay for one sub-request each; they were last refilled at refilledAt.
 	tokens     float64
 	refilledAt time.Time
+	// wanted counts the parts, since the last renewal of the share, that the target could have answered; demand is their average rate per second as of demandAt.
+	wanted   int
+	demand   float64
+	demandAt time.Time
 	// promisedAt is the latest time for which a refused caller was told to come back.
 	promisedAt time.Time
 }
@@ -51,8 +56,27 @@
 	maxTokensTime = time.Second
 	// minHostRate is the lowest rate, in requests per second, at which a host uses its share of a limit. Each host can save one token; with lower rates, the hosts' saved tokens together could exceed what a target tolerates at once.
 	minHostRate = 0.5
+	// minTargetRate is the lowest rate, in requests per second, that is used over all hosts even if a target accepts less: its responses show when it accepts more.
+	minTargetRate = 0.25
 )
 
+// UsableRateShare reports whether a share of a limit is large enough to be used. The whole limit is used however low it is.
+func UsableRateShare(share, perSecond float64) bool {
+	return hostRate(share, perSecond) > 0
+}
+
+// hostRate returns the rate at which a host may send with its share of a limit.
+func hostRate(share, perSecond float64) float64 {
+	switch rate := share * perSecond; {
+	case share >= 1:
+		return max(rate, minTargetRate)
+	case rate < minHostRate:
+		return 0
+	default:
+		return rate
+	}
+}
+
 // all returns the targets with a rate limit, and those whose limit ended recently.
 func (l *rateLimiter) all() map[string]*targetRate {
 	if p := l.targets.Load(); p != nil {
@@ -100,19 +124,19 @@
 }
 
 // refill adds the tokens for the time since the last refill at the host's rate. The caller must hold r.mu.
-func (r *targetRate) refill(hostRate float64, now time.Time) {
+func (r *targetRate) refill(rate float64, now time.Time) {
 	elapsed := max(now.Sub(r.refilledAt), 0)
 	r.refilledAt = now
-	if hostRate < minHostRate {
+	if rate == 0 {
 		r.tokens = 0
 		return
 	}
-	r.tokens = min(r.tokens+hostRate*elapsed.Seconds(), maxTokens(hostRate))
+	r.tokens = min(r.tokens+rate*elapsed.Seconds(), maxTokens(rate))
 }
 
 // maxTokens returns the number of tokens that a host can save.
-func maxTokens(hostRate float64) float64 {
-	return max(hostRate*maxTokensTime.Seconds(), 1)
+func maxTokens(rate float64) float64 {
+	return max(rate*maxTokensTime.Seconds(), 1)
 }
 
 // tryTake takes a token if the target states a limit. It reports whether a token was taken, and whether the sub-request may be sent.
@@ -122,7 +146,7 @@
 	if !r.limited {
 		return false, true
 	}
-	r.refill(share*r.perSecond, now)
+	r.refill(hostRate(share, r.perSecond), now)
 	if r.tokens < 1 {
 		return false, false
 	}
@@ -156,12 +180,12 @@
 	if !r.limited {
 		return rateOpen
 	}
-	hostRate := share * r.perSecond
-	r.refill(hostRate, now)
+	rate := hostRate(share, r.perSecond)
+	r.refill(rate, now)
 	switch {
 	case r.tokens < 1:
 		return rateClosed
-	case r.tokens < 2 && maxTokens(hostRate) >= 2:
+	case r.tokens < 2 && maxTokens(rate) >= 2:
 		return rateLast
 	default:
 		return rateOpen
@@ -173,12 +197,12 @@
 
 // nextTokenAt returns the time of the next token that hasn't been promised to a refused caller, and the interval between tokens. The caller must hold r.mu.
 func (r *targetRate) nextTokenAt(share float64, now time.Time) (at time.Time, interval time.Duration) {
-	hostRate := share * r.perSecond
-	r.refill(hostRate, now)
-	if hostRate < minHostRate {
+	rate := hostRate(share, r.perSecond)
+	r.refill(rate, now)
+	if rate == 0 {
 		return now.Add(shareRetryAfter), 0
 	}
-	interval = time.Duration(float64(time.Second) / hostRate)
+	interval = time.Duration(float64(time.Second) / rate)
 	at = now.Add(time.Duration(max(1-r.tokens, 0) * float64(interval)))
 	if next := r.promisedAt.Add(interval); next.After(at) {
 		at = next
@@ -205,13 +229,21 @@
 	return at
 }
 
+// rateShare returns the share of a target's rate limit that this host may use.
+func (e *Engine) rateShare(t *roster.Entry) float64 {
+	if e.state.RateShare == nil {
+		return e.state.LimitsShare()
+	}
+	return e.state.RateShare(t.ID, t.Born)
+}
+
 // rateStateOf returns how many sub-requests the rate limit of a target allows this host at present.
 func (e *Engine) rateStateOf(t *roster.Entry, now time.Time) rateState {
 	r := e.rates.of(t)
 	if r == nil {
 		return rateOpen
 	}
-	return r.state(e.state.LimitsShare(), now)
+	return r.state(e.rateShare(t), now)
 }
 
 // takeRate counts a reserved sub-request towards its target's rate limit, unless it was counted before, and reports whether the limit allows it.
@@ -220,7 +252,7 @@
 	if r == nil || res.limit != nil {
 		return true
 	}
-	taken, allowed := r.tryTake(e.state.LimitsShare(), now)
+	taken, allowed := r.tryTake(e.rateShare(res.target), now)
 	if taken {
 		res.limit = r
 	}
@@ -250,10 +282,9 @@
 func (q *query) rateRetryAt(now time.Time) time.Time {
 	e := q.engine
 	type opening struct {
-		limit *targetRate
-		at    time.Time
+		target *roster.Entry
+		at     time.Time
 	}
-	share := e.state.LimitsShare()
 	var openings []opening
 	unavailable := 0
 	for _, p := range q.parts {
@@ -267,11 +298,11 @@
 			if !r.isLimited() {
 				continue
 			}
-			if at := r.availableAt(share, now); first.limit == nil || at.Before(first.at) {
-				first = opening{limit: r, at: at}
+			if at := r.availableAt(e.rateShare(t), now); first.target == nil || at.Before(first.at) {
+				first = opening{target: t, at: at}
 			}
 		}
-		if first.limit != nil {
+		if first.target != nil {
 			openings = append(openings, first)
 		}
 	}
@@ -280,7 +311,12 @@
 		return time.Time{}
 	}
 	slices.SortFunc(openings, func(a, b opening) int { return a.at.Compare(b.at) })
-	return openings[required-1].limit.promise(share, now, q.deadline)
+	t := openings[required-1].target
+	r := e.rates.of(t)
+	if r == nil {
+		return time.Time{}
+	}
+	return r.promise(e.rateShare(t), now, q.deadline)
 }
 
 // set records the limit, or its end, as of a time and reports whether it differs from the one before. An older statement is ignored.
@@ -349,6 +385,111 @@
 		zap.Float64("per_second", perSecond))
 }
 
+// RateDemand is a host's demand for a target with a rate limit.
+type RateDemand struct {
+	Limit roster.RateLimit
+	// Region is the region of the target.
+	Region string
+	// PerSecond is the number of parts per second that the target could have answered.
+	PerSecond float64
+}
+
+const (
+	// demandTime is the time over which a host's demand is averaged.
+	demandTime = 2 * time.Second
+	// minDemand is the demand, in parts per second, below which a host needs no share.
+	minDemand = 0.05
+)
+
+// countRateDemand counts the parts that are answered or refused here as demand for their targets with rate limits.
+func (q *query) countRateDemand(delegated map[*part]bool) {
+	e := q.engine
+	if len(e.rates.all()) == 0 {
+		return
+	}
+	view := e.state.View()
+	for _, p := range q.parts {
+		if delegated[p] {
+			continue
+		}
+		for _, t := range view.Services[p.service] {
+			if r := e.rates.of(t); r != nil && q.route.Allows(t.Region) && !e.state.DatacentreOut(t.Datacentre) {
+				r.mu.Lock()
+				r.wanted++
+				r.mu.Unlock()
+			}
+		}
+	}
+}
+
+// updateDemand updates the average demand and returns it.
+func (r *targetRate) updateDemand(now time.Time) float64 {
+	elapsed := now.Sub(r.demandAt).Seconds()
+	if r.demandAt.IsZero() || elapsed <= 0 {
+		elapsed = demandTime.Seconds()
+	}
+	weight := 1 - math.Exp(-elapsed/demandTime.Seconds())
+	r.demand += weight * (float64(r.wanted)/elapsed - r.demand)
+	r.wanted, r.demandAt = 0, now
+	return r.demand
+}
+
+// RateDemands returns this host's demands for targets with rate limits since the last call.
+func (e *Engine) RateDemands() []RateDemand {
+	now, view := e.clock.Now(), e.state.View()
+	var demands []RateDemand
+	for id, r := range e.rates.all() {
+		entry := view.Entries[id]
+		if entry == nil {
+			continue
+		}
+		r.mu.Lock()
+		if demand := r.updateDemand(now); r.limited && demand >= minDemand {
+			demands = append(demands, RateDemand{
+				Limit:     r.export(now),
+				Region:    entry.Region,
+				PerSecond: demand,
+			})
+		}
+		r.mu.Unlock()
+	}
+	return demands
+}
+
+// export returns the limit as it is passed on to other hosts. The caller must hold r.mu.
+func (r *targetRate) export(now time.Time) roster.RateLimit {
+	return roster.RateLimit{
+		ID:        r.id,
+		Born:      r.born,
+		Limited:   r.limited,
+		PerSecond: r.perSecond,
+		Age:       now.Sub(r.heardAt),
+	}
+}
+
+// LearnRateLimits records rate limits that other hosts know. Those of targets that aren't in the roster are ignored.
+func (e *Engine) LearnRateLimits(all []roster.RateLimit) {
+	now, view := e.clock.Now(), e.state.View()
+	for _, l := range all {
+		entry := view.Entries[l.ID]
+		if entry == nil || !entry.Born.Equal(l.Born) || l.Validate() != nil {
+			continue
+		}
+		r := e.rates.of(entry)
+		if r == nil {
+			if !l.Limited {
+				continue
+			}
+			if r = e.rates.add(l.ID, entry.Service, l.Born); r == nil {
+				continue
+			}
+		}
+		if r.set(l.Limited, l.PerSecond, now.Add(-l.Age)) {
+			e.reportRateLimit(r, l.Limited, l.PerSecond, originHost)
+		}
+	}
+}
+
 // sendReason is why a sub-request is sent.
 type sendReason string
 
