follow, relay, front: hosts learn rate limits of targets from the host whose views they read

A host without a response of the target sent what it liked to it: after the loss of a coordinator, each of its hosts begins with requests of its own, and 295 hosts with one each are many times a limit of 7 a second. Cause: the statement was kept by each host alone. The views that a host reads from another one now bear the limits, with their age, unless both know the same ones; the newest statement holds, and the end of a limit is remembered for 10 s so that it is passed on as well.

Tests: follow TestFedHostLearnsRateLimits (doesn't compile before), relay TestRateLimitsOfOtherHostsAreLearned.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -33,6 +33,8 @@
 	Members                    uint64
 	// Leavers are the targets that the host knows to have announced that they are leaving.
 	Leavers []string
+	// RateLimits is the hash of the targets' rate limits that the host knows.
+	RateLimits uint64
 }
 
 // State is the answer to another host's read: the parts that differ, and the age of the answering host's views.
@@ -44,6 +46,8 @@
 	Members  []coord.Member
 	// Leavers are targets that have announced that they are leaving and that the reading host didn't name.
 	Leavers []roster.Leaver
+	// RateLimits are the targets' rate limits, unless the reading host knows the same.
+	RateLimits []roster.RateLimit
 	// OperatorAge and TargetsAge are the times since the views were last known to include all changes.
 	OperatorAge, TargetsAge time.Duration
 }
@@ -72,6 +76,9 @@
 	// Leavers returns the targets that have announced that they are leaving, AddLeavers adds those that another host knows of; both may be nil.
 	Leavers    func() []roster.Leaver
 	AddLeavers func([]roster.Leaver)
+	// RateLimits returns the targets' rate limits, AddRateLimits adds those that another host knows; both may be nil.
+	RateLimits    func() []roster.RateLimit
+	AddRateLimits func([]roster.RateLimit)
 }
 
 // FedByPeer reports whether this host uses another host's views instead of reading the store.
@@ -97,7 +104,7 @@
 // readFromSource reads from the first source whose views are fresh and reports whether there was one.
 func (f *Follower) readFromSource(ctx context.Context, feed Feed) bool {
 	for _, m := range feed.Sources() {
-		known := f.knownWithLeavers(feed)
+		known := f.knownWithNotices(feed)
 		limited, cancel := f.clock.WithTimeout(ctx, longPollWait+longPollGrace)
 		s, err := feed.Read(limited, m, known)
 		cancel()
@@ -147,7 +154,7 @@
 
 // readFallbacks reads the views of all given hosts in parallel, since any of them may be unreachable too, and applies each answer.
 func (f *Follower) readFallbacks(ctx context.Context, feed Feed, hosts []coord.Member) {
-	known := f.knownWithLeavers(feed)
+	known := f.knownWithNotices(feed)
 	limited, cancel := f.clock.WithTimeout(ctx, longPollWait+longPollGrace)
 	defer cancel()
 	var reads sync.WaitGroup
@@ -169,14 +176,17 @@
 	reads.Wait()
 }
 
-// knownWithLeavers returns what this host knows, including the targets that have announced that they are leaving.
-func (f *Follower) knownWithLeavers(feed Feed) Known {
+// knownWithNotices returns what this host knows, including what targets have announced themselves: that they are leaving, and their rate limits.
+func (f *Follower) knownWithNotices(feed Feed) Known {
 	k := f.known(feed.Members())
 	if feed.Leavers != nil {
 		for _, l := range feed.Leavers() {
 			k.Leavers = append(k.Leavers, l.ID)
 		}
 	}
+	if feed.RateLimits != nil {
+		k.RateLimits = roster.RateLimitsHash(feed.RateLimits())
+	}
 	return k
 }
 
@@ -192,7 +202,7 @@
 	}
 }
 
-// applyState applies another host's answer to the views, the hosts and the leaving targets.
+// applyState applies another host's answer to the views, the hosts, the leaving targets and the rate limits.
 func (f *Follower) applyState(s State, feed Feed) {
 	now := f.clock.Now()
 	if s.Operator != nil {
@@ -213,6 +223,9 @@
 	if len(s.Leavers) > 0 && feed.AddLeavers != nil {
 		feed.AddLeavers(s.Leavers)
 	}
+	if len(s.RateLimits) > 0 && feed.AddRateLimits != nil {
+		feed.AddRateLimits(s.RateLimits)
+	}
 	advance(&f.operatorCurrentAt, f.sinceEpoch(now.Add(-s.OperatorAge)))
 	advance(&f.targetsCurrentAt, f.sinceEpoch(now.Add(-s.TargetsAge)))
 }
@@ -313,17 +326,19 @@
 
 // Service serves the calls of other hosts.
 type Service struct {
-	follower *Follower
-	members  func() []coord.Member
-	leavers  func() []roster.Leaver
+	follower   *Follower
+	members    func() []coord.Member
+	leavers    func() []roster.Leaver
+	rateLimits func() []roster.RateLimit
 }
 
-// NewService returns the service through which other hosts read a follower's views; members and leavers return the hosts and the leaving targets to report.
-func NewService(f *Follower, members func() []coord.Member, leavers func() []roster.Leaver) *Service {
+// NewService returns the service through which other hosts read a follower's views; the functions return the hosts, the leaving targets and the rate limits to report.
+func NewService(f *Follower, members func() []coord.Member, leavers func() []roster.Leaver, rateLimits func() []roster.RateLimit) *Service {
 	return &Service{
-		follower: f,
-		members:  members,
-		leavers:  leavers,
+		follower:   f,
+		members:    members,
+		leavers:    leavers,
+		rateLimits: rateLimits,
 	}
 }
 
@@ -335,6 +350,9 @@
 			reply.Leavers = append(reply.Leavers, l)
 		}
 	}
+	if all := s.rateLimits(); roster.RateLimitsHash(all) != known.RateLimits {
+		reply.RateLimits = all
+	}
 	return nil
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -847,7 +847,7 @@
 		loops.Go(func() {
 			for ctx.Err() == nil {
 				var ready bool
-				if err := NewService(own, nil, nil).Greet(coord.Member{Name: "other"}, &ready); err != nil {
+				if err := NewService(own, nil, nil, nil).Greet(coord.Member{Name: "other"}, &ready); err != nil {
 					t.Error(err)
 				}
 				time.Sleep(500 * time.Millisecond)
@@ -915,3 +915,30 @@
 		require.NotEmpty(t, source.AwaitDiff(unknown, members).Targets)
 	})
 }
+
+// TestFedHostLearnsRateLimits guards against hosts that send to a target at its limit because they had no response of it yet: they learn the limit from the host whose views they read. Limits that both know aren't sent again.
+func TestFedHostLearnsRateLimits(t *testing.T) {
+	withFollower(t, func(source *Follower, _ *fakeStore) {
+		limit := roster.RateLimit{ID: "t", Limited: true, PerSecond: 3, Age: time.Second}
+		var learned []roster.RateLimit
+		feed := Feed{
+			Members:       func() []coord.Member { return nil },
+			SetMembers:    func([]coord.Member) {},
+			RateLimits:    func() []roster.RateLimit { return learned },
+			AddRateLimits: func(all []roster.RateLimit) { learned = all },
+		}
+		service := NewService(source, func() []coord.Member { return nil }, func() []roster.Leaver { return nil }, func() []roster.RateLimit { return []roster.RateLimit{limit} })
+		fed := New(timer.New(), Store{}, propagationLimit, outageThreshold, zap.NewNop(), tally.NoopScope)
+		for _, wanted := range []int{1, 0} {
+			var s State
+			require.NoError(t, service.Read(fed.knownWithNotices(feed), &s))
+			require.Len(t, s.RateLimits, wanted)
+			fed.applyState(s, feed)
+			require.Equal(t, []roster.RateLimit{limit}, learned)
+		}
+		limit.PerSecond = 2
+		var s State
+		require.NoError(t, service.Read(fed.knownWithNotices(feed), &s))
+		require.Len(t, s.RateLimits, 1, "the limit has changed")
+	})
+}
--- a/front/members.go
+++ b/front/members.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	s := wire.NewServer(l)
-	if err := s.Register(follow.ServiceName, follow.NewService(f.follow, f.coord.Members, f.engine.LeavingTargets)); err != nil {
+	if err := s.Register(follow.ServiceName, follow.NewService(f.follow, f.coord.Members, f.engine.LeavingTargets, f.engine.RateLimits)); err != nil {
 		return err
 	}
 	if err := s.Register(coord.RateServiceName, coord.NewRateService(f.rateShares)); err != nil {
@@ -77,6 +77,9 @@
 		SetMembers: f.coord.SetMembers,
 		Leavers:    f.engine.LeavingTargets,
 		AddLeavers: f.engine.LearnLeaving,
+
+		RateLimits:    f.engine.RateLimits,
+		AddRateLimits: f.engine.LearnRateLimits,
 	}
 }
 
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -147,10 +147,7 @@
 	e.estimators.Retain(func(id string) bool { return view.Entries[id] != nil })
 	e.cold.retain(func(id string) bool { return view.Entries[id] != nil })
 	e.notices.prune(view, e.clock.Now())
-	e.rates.retain(func(r *targetRate) bool {
-		entry := view.Entries[r.id]
-		return entry != nil && entry.Born.Equal(r.born)
-	})
+	e.rates.prune(view, e.clock.Now())
 	e.updateNoticeGauges()
 	if c := e.state.Config(); c != nil {
 		known := func(s string) bool {
--- a/relay/rate_limit.go
+++ b/relay/rate_limit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -112,17 +113,30 @@
 	return r
 }
 
-// retain deletes the rate limits that keep rejects.
-func (l *rateLimiter) retain(keep func(*targetRate) bool) {
+// endedRateRetention is how long the end of a limit is remembered, to be passed on to hosts that know the limit.
+const endedRateRetention = 10 * time.Second
+
+// prune deletes the limits of target processes that no longer exist, and those that ended some time ago.
+func (l *rateLimiter) prune(view *roster.View, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := maps.Clone(l.all())
-	maps.DeleteFunc(next, func(_ string, r *targetRate) bool { return !keep(r) })
+	maps.DeleteFunc(next, func(id string, r *targetRate) bool {
+		entry := view.Entries[id]
+		return entry == nil || !entry.Born.Equal(r.born) || r.endedBefore(now.Add(-endedRateRetention))
+	})
 	if len(next) < len(l.all()) {
 		l.targets.Store(&next)
 	}
 }
 
+// endedBefore reports whether the limit ended before a time.
+func (r *targetRate) endedBefore(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.limited && r.heardAt.Before(t)
+}
+
 // refill adds the tokens for the time since the last refill at the host's rate. The caller must hold r.mu.
 func (r *targetRate) refill(rate float64, now time.Time) {
 	elapsed := max(now.Sub(r.refilledAt), 0)
@@ -467,6 +481,22 @@
 	}
 }
 
+// maxSharedRateLimits is the number of rate limits passed on to a host at a time, which bounds the size of the message.
+const maxSharedRateLimits = 1024
+
+// RateLimits returns the rate limits known here, and those that ended recently, to be passed on to other hosts.
+func (e *Engine) RateLimits() []roster.RateLimit {
+	now := e.clock.Now()
+	var all []roster.RateLimit
+	for _, r := range e.rates.all() {
+		r.mu.Lock()
+		all = append(all, r.export(now))
+		r.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b roster.RateLimit) int { return cmp.Compare(a.ID, b.ID) })
+	return all[:min(len(all), maxSharedRateLimits)]
+}
+
 // LearnRateLimits records rate limits that other hosts know. Those of targets that aren't in the roster are ignored.
 func (e *Engine) LearnRateLimits(all []roster.RateLimit) {
 	now, view := e.clock.Now(), e.state.View()
--- a/relay/rate_limit_test.go
+++ b/relay/rate_limit_test.go
@@ -10,6 +10,7 @@
 
 	"kingcupcross/fault"
 	"kingcupcross/pool"
+	"kingcupcross/roster"
 )
 
 // stated returns the notice of a response that states a rate limit.
@@ -242,3 +243,40 @@
 		require.NotEqual(t, rateClosed, l.engine.rateStateOf(l.targetEntry("one", 0), time.Now()))
 	})
 }
+
+// TestRateLimitsOfOtherHostsAreLearned checks that the newest statement holds, whichever host has heard it, and that statements about unknown or earlier processes and invalid ones are ignored.
+func TestRateLimitsOfOtherHostsAreLearned(t *testing.T) {
+	withCluster(t, func(l *testCluster) {
+		l.setSingleRoute(true, 2)
+		l.addTarget("one", 0, nil)
+		target := l.targetEntry("one", 0)
+		learn := func(r roster.RateLimit) { l.engine.LearnRateLimits([]roster.RateLimit{r}) }
+		want := func(perSecond float64, limited bool) {
+			t.Helper()
+			gotRate, gotLimited := l.engine.statedRate(target)
+			require.Equal(t, limited, gotLimited)
+			if limited {
+				require.InDelta(t, perSecond, gotRate, 0)
+			}
+		}
+		learn(roster.RateLimit{ID: target.ID, Limited: true, PerSecond: -1})
+		learn(roster.RateLimit{ID: target.ID, Limited: true, PerSecond: 4, Born: time.Now()})
+		learn(roster.RateLimit{ID: "unknown", Limited: true, PerSecond: 4})
+		want(0, false)
+		learn(roster.RateLimit{ID: target.ID, Limited: true, PerSecond: 4, Age: 2 * time.Second})
+		want(4, true)
+		learn(roster.RateLimit{ID: target.ID, Limited: true, PerSecond: 9, Age: 3 * time.Second})
+		want(4, true)
+		l.notify("one", 0, stated(5))
+		learn(roster.RateLimit{ID: target.ID, Age: time.Second})
+		want(5, true)
+		time.Sleep(time.Second)
+		learn(roster.RateLimit{ID: target.ID})
+		want(0, false)
+		l.engine.Prune()
+		require.Len(t, l.engine.RateLimits(), 1, "the end of the limit is passed on")
+		time.Sleep(endedRateRetention + time.Second)
+		l.engine.Prune()
+		require.Empty(t, l.engine.RateLimits())
+	})
+}
--- a/roster/ratelimit.go
+++ b/roster/ratelimit.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // RateLimit is the request rate that a target states for all hosts together, as one host passes it on to another.
@@ -31,3 +33,14 @@
 	}
 	return nil
 }
+
+// RateLimitsHash returns a hash of the limits in force that depends neither on their order nor on their age.
+func RateLimitsHash(all []RateLimit) uint64 {
+	var sum uint64
+	for _, l := range all {
+		if l.Limited {
+			sum += xxhash.Sum64String(fmt.Sprintf("%s/%d/%g", l.ID, l.Born.UnixNano(), l.PerSecond))
+		}
+	}
+	return sum
+}
