soak: targets state rate limits

As a trouble, a random target states a limit, also malformed, zero and huge ones; after the recovery, a target of a shard and one of the unsharded service state one for 10 s, and the requests that reach them are counted.

--- a/soak/guards_test.go
+++ b/soak/guards_test.go
@@ -61,6 +61,13 @@
 		to:      "if false {",
 		message: "after it announced that it wants no requests",
 	},
+	{
+		name:    "a target that states a rate limit gets no more requests",
+		file:    "platform/egress.go",
+		from:    "decodeRateLimit(h); malformed",
+		to:      "(relay.StatedRate{}), \"\"; malformed",
+		message: "stated a rate limit",
+	},
 	{
 		name:    "repeated sub-requests are limited by a budget",
 		file:    "relay/budget.go",
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -212,6 +212,13 @@
 			targets := w.targetsOf(randomTarget(r).Service)
 			during(0, func() { w.announceRetryAfter(targets, d) }, func() {})
 		},
+		func(r *rand.Rand, d time.Duration) {
+			header := http.Header{"Server-Limit": {rateLimitValues[r.IntN(len(rateLimitValues))]}}
+			t := randomTarget(r)
+			if t.AnswerHeader.CompareAndSwap(nil, &header) {
+				during(d, func() {}, func() { t.AnswerHeader.CompareAndSwap(&header, nil) })
+			}
+		},
 	}
 }
 
@@ -256,7 +263,7 @@
 }
 
 // runSeed runs the program with the random faults of one seed and returns the violations of its guarantees:
-// first a phase of faults, then recovery, then two seconds without changes, then planned changes.
+// first a phase of faults, then recovery, then a phase in which only some targets state rate limits, then planned changes.
 func runSeed(t *testing.T, program string, s uint64) []string {
 	r := rand.New(rand.NewPCG(s, 7))
 	w := newCluster(t, program)
@@ -277,12 +284,12 @@
 	activeFaults.Wait()
 	w.waitForRecovery()
 	recovered := time.Now()
-	time.Sleep(2 * time.Second)
+	violations := w.limitRates(r)
 	planned := time.Now()
 	w.makePlannedChanges(r)
 	cancel()
 	group.Wait()
-	return w.checkGuarantees(exchanges, recovered, planned)
+	return append(violations, w.checkGuarantees(exchanges, recovered, planned)...)
 }
 
 // waitForRecovery resumes stopped processes and restarts those that have ended. It waits until all hosts are ready, and then as long as a drain may take to have effect.
