follow: a host that got only a part of the views at its start doesn't back off

Callers of a host that had just started were refused for up to 0.75 s longer where the hosts that read the store went down in the same moment. Cause: a reader that is starting itself answers with a part of its views, the configuration without targets. The host took that for being fed: it ended its wait, left the store alone while fed, and backed off once the readers no longer answered. Now the wait at the start ends only with whole views, and a host without them doesn't back off.

--- a/follow/backoff.go
+++ b/follow/backoff.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// readPeersAtStart reads the views of other hosts right after the start. It allows this host to ask the store once it has such views, reads the store for others, or has waited for startWaitLimit and the jitter.
+// readPeersAtStart reads the views of other hosts right after the start. It allows this host to ask the store once it has such views whole, reads the store for others, or has waited for startWaitLimit and the jitter.
 func (f *Follower) readPeersAtStart(ctx context.Context, feed Feed) {
 	if f.storeAllowed == nil {
 		return
@@ -62,12 +62,16 @@
 	defer cancel()
 	defer close(f.storeAllowed)
 	for limited.Err() == nil && !f.hostGroup.IsReader() {
-		if f.readFromSource(limited, feed) {
+		// A source that is starting too may have only a part of its views.
+		if f.readFromSource(limited, feed) && f.Ready() {
 			return
 		}
 		// Sleep fails only once limited has ended, which the loop condition checks.
 		_ = f.clock.Sleep(limited, startRetryPeriod)
 	}
+	if !f.Ready() {
+		f.fedUntil.Store(0)
+	}
 }
 
 // backingOff reports whether a backoff keeps this host from asking the store at present.
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -91,7 +91,8 @@
 	f.readPeersAtStart(ctx, feed)
 	for ctx.Err() == nil {
 		if !f.readFromSource(ctx, feed) {
-			if f.fedUntil.Swap(0) != 0 {
+			// A host without views of its own can't serve and has nothing to wait for.
+			if f.fedUntil.Swap(0) != 0 && f.Ready() {
 				f.backOff(fallbackSpacing, maxFallbackDelay)
 				f.log.Info("no other host has fresh views, reading the store")
 			}
