epoch, platform, follow, roster, front: the store may be restored from an older copy

What hosts knew went back with the store, or stopped moving: views are ordered by the store's revision alone, and after a restore revisions are lower and given out again. A host dropped every change after it until the numbers had caught up, took a target that drains or has left for ready because the copy shows it, and could renew or end a lease that now is another host's.

Change: package epoch orders states of the store by epoch ("Store-Era") and revision, in one place. Answers of an earlier epoch are dropped, pages of two epochs aren't mixed, and a watch that is answered from another epoch counts as one whose history is gone, so that everything is read anew and exactly. After a rise of the epoch, for as long as after an outage (2.5 s): targets that the copy lacks are kept, data centres stay out of service, and an earlier process of a target doesn't replace a later one; targets that drained or were removed before stay out of use until their entries change. Versions never go back, as before. Hosts pass the epoch on with their views; one that doesn't know of the restore is neither read from nor believed, and learns of it by reading. A lease belongs to an epoch: hosts register again within 0.6 s of the news, and never name an older lease. A store that states no epoch is followed as today.

Found on the way by random sequences: a host that had lost the store for a while keeps targets whose entries are missing, and passed them on as present; a host that knew them to be gone used them again, and one that had just started kept them for good. Listings now say which entries are missing and for how long. This could happen with any outage of the store, without a restore.

The stand-in of the store in follow's tests lost a change that came in the moment in which a watch ended; that is mended.

--- a/coord/member.go
+++ b/coord/member.go
@@ -41,6 +41,13 @@
 	return nil
 }
 
+// Lease is the lease under which a host is registered in the platform's store. The zero value means none.
+type Lease struct {
+	ID uint64
+	// Epoch is the store's epoch that granted it; in a later one the id may be another host's.
+	Epoch uint64
+}
+
 // hostsPerCoordinator is the number of hosts of a region for each coordinator. The fewer coordinators there are, the more each learns about the targets.
 const hostsPerCoordinator = 32
 
--- /dev/null
+++ b/epoch/doc.go
@@ -0,0 +1,2 @@
+// Package epoch orders the states of the platform's store across restores from older copies.
+package epoch
--- a/follow/backoff_test.go
+++ b/follow/backoff_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/coord"
+	"kingcupcross/epoch"
 	"kingcupcross/route"
 	"kingcupcross/timer"
 )
@@ -53,7 +54,7 @@
 		}
 		return operator(ctx)
 	}
-	s.AwaitOperator = func(ctx context.Context, after uint64, wait time.Duration) (uint64, bool, error) {
+	s.AwaitOperator = func(ctx context.Context, after epoch.Revision, wait time.Duration) (epoch.Revision, bool, error) {
 		revision, changed, err := awaitOperator(ctx, after, wait)
 		if c.cutOff(isReader) {
 			return after, false, errDown
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/coord"
+	"kingcupcross/epoch"
 	"kingcupcross/roster"
 	"kingcupcross/route"
 )
@@ -31,6 +32,8 @@
 	Operator, OperatorRevision uint64
 	Targets, TargetsRevision   uint64
 	Members                    uint64
+	// OperatorEpoch and TargetsEpoch are the store's epochs of the revisions.
+	OperatorEpoch, TargetsEpoch uint64
 	// Leavers are the targets that the host knows to have announced that they are leaving.
 	Leavers []string
 	// RateLimits is the hash of the targets' rate limits that the host knows.
@@ -48,6 +51,8 @@
 	Leavers []roster.Leaver
 	// RateLimits are the targets' rate limits, unless the reading host knows the same.
 	RateLimits []roster.RateLimit
+	// Epoch is the newest epoch of the store that the answering host knows.
+	Epoch uint64
 	// OperatorAge and TargetsAge are the times since the views were last known to include all changes.
 	OperatorAge, TargetsAge time.Duration
 }
@@ -117,7 +122,7 @@
 			f.log.Info("failed to read views from another host", zap.String("from", m.Name), zap.Error(err))
 			continue
 		}
-		if s.age() >= f.maxFreshAge() {
+		if s.age() >= f.maxFreshAge() || s.Epoch < f.epochs.Current() {
 			f.scope.Counter("feed_stale").Inc(1)
 			continue
 		}
@@ -197,14 +202,21 @@
 	return Known{
 		Operator:         o.Hash(),
 		OperatorRevision: o.Revision,
+		OperatorEpoch:    o.Epoch,
 		Targets:          v.Hash,
 		TargetsRevision:  v.Revision,
+		TargetsEpoch:     v.Epoch,
 		Members:          coord.MembersHash(members),
 	}
 }
 
 // applyState applies another host's answer to the views, the hosts, the leaving targets and the rate limits.
 func (f *Follower) applyState(s State, feed Feed) {
+	if !f.epochs.Observe(s.Epoch) {
+		// The host doesn't know yet that the store was restored.
+		f.scope.Counter("feed_earlier_epoch").Inc(1)
+		return
+	}
 	now := f.clock.Now()
 	if s.Operator != nil {
 		if o, err := unpackOperator(s.Operator); err != nil {
@@ -293,16 +305,17 @@
 
 // diff returns the parts that differ from what another host knows, and whether there are any.
 func (f *Follower) diff(known Known, members []coord.Member) (State, bool) {
-	var s State
+	s := State{Epoch: f.epochs.Current()}
 	s.OperatorAge, s.TargetsAge = f.Ages()
-	if o := f.operator.Load(); o.Config != nil && o.Hash() != known.Operator && o.Revision >= known.OperatorRevision {
-		packed, err := f.operatorCache.get(o.Hash(), o)
+	knownOperator := epoch.Revision{Epoch: known.OperatorEpoch, Number: known.OperatorRevision}
+	if o := f.operator.Load(); o.Config != nil && o.Hash() != known.Operator && !o.At().Before(knownOperator) {
+		packed, err := f.operatorCache.get(o.Epoch, o.Hash(), o)
 		if err != nil {
 			f.log.Error("cannot encode configuration for other hosts", zap.Error(err))
 		}
 		s.Operator = packed
 	}
-	if v := f.View(); !v.ReadAt.IsZero() && v.Hash != known.Targets && v.Revision >= known.TargetsRevision {
+	if v := f.View(); !v.ReadAt.IsZero() && v.Hash != known.Targets && !v.At().Before(epoch.Revision{Epoch: known.TargetsEpoch, Number: known.TargetsRevision}) {
 		f.addTargets(&s, v, known.Targets)
 	}
 	if coord.MembersHash(members) != known.Members {
@@ -311,14 +324,21 @@
 	return s, s.Operator != nil || s.Targets != nil || s.Changes != nil || s.Members != nil
 }
 
-// addTargets adds the changes from the view with the hash known to the present one, or all targets if that view is no longer in the history.
+// addTargets adds the changes from the view with the hash known to the present one, or all targets if that view is no longer in the history or targets are kept whose entries are missing, which changes don't show.
 func (f *Follower) addTargets(s *State, v *roster.View, known uint64) {
-	if old := f.viewHistory.find(known); old != nil {
+	if old := f.viewHistory.find(known); old != nil && old.Epoch == v.Epoch && !v.HasMissing() {
 		c := v.ChangesSince(old)
 		s.Changes = &c
 		return
 	}
-	packed, err := f.targetsCache.get(v.Hash, v.Listing())
+	p := v.Listing(f.clock.Now())
+	packed, err := Packed(nil), error(nil)
+	if len(p.Missing) > 0 {
+		// The times for which entries have been missing change.
+		packed, err = pack(p)
+	} else {
+		packed, err = f.targetsCache.get(v.Epoch, v.Hash, p)
+	}
 	if err != nil {
 		f.log.Error("cannot encode targets for other hosts", zap.Error(err))
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"kingcupcross/board"
 	"kingcupcross/coord"
+	"kingcupcross/epoch"
 	"kingcupcross/roster"
 	"kingcupcross/route"
 	"kingcupcross/timer"
@@ -35,11 +36,11 @@
 // Store is the part of the platform's store that a follower reads. The operator data are the configuration and the data centres out of service.
 type Store struct {
 	Operator      func(context.Context) (route.OperatorState, error)
-	AwaitOperator func(ctx context.Context, after uint64, wait time.Duration) (revision uint64, changed bool, err error)
+	AwaitOperator func(ctx context.Context, after epoch.Revision, wait time.Duration) (at epoch.Revision, changed bool, err error)
 	// Targets reads all targets. Unless exact is set, the reading may be out of date by any amount.
 	Targets func(ctx context.Context, exact bool) (roster.Listing, error)
 	// AwaitTargets waits up to wait for changes of targets after a revision.
-	AwaitTargets func(ctx context.Context, after uint64, wait time.Duration) (roster.Update, error)
+	AwaitTargets func(ctx context.Context, after epoch.Revision, wait time.Duration) (roster.Update, error)
 }
 
 // Follower keeps the views of the configuration and the targets and answers other hosts from them.
@@ -74,7 +75,13 @@
 	targetsPause time.Duration
 	// outageThreshold is the shortest outage of the store in which entries of targets can expire.
 	outageThreshold time.Duration
-	// lastAnswer is the time of the last answer to any call, outageEnd that of the first answer after an outage, zero before the first outage.
+	// epochs holds the newest known epoch of the store.
+	epochs *epoch.Tracker
+	// restoredAt is when this host learned that the store was restored from an older copy, zero if it never was.
+	restoredAt atomic.Int64
+	// lastOperator holds the operator data as last read, before the rules for a restored store are applied.
+	lastOperator atomic.Pointer[route.OperatorState]
+	// lastAnswer is the time of the last answer to any call, outageEnd that of the first answer after an outage or a restore, zero before the first one.
 	lastAnswer, outageEnd atomic.Int64
 	// epoch is the time from which the atomic times of the follower count in nanoseconds, so that steps of the wall clock don't affect them.
 	epoch time.Time
@@ -98,7 +105,7 @@
 
 // New returns a follower of a store that learns of each change within propagationLimit; outageThreshold is the shortest outage of the store in which entries of targets can expire.
 func New(clock *timer.Clock, store Store, propagationLimit, outageThreshold time.Duration, log *zap.Logger, scope tally.Scope) *Follower {
-	return &Follower{
+	f := &Follower{
 		clock:           clock,
 		store:           store,
 		watchWait:       time.Duration(watchWaitFraction * float64(propagationLimit)),
@@ -112,6 +119,8 @@
 		greetings:       make(chan coord.Member, 1),
 		targetsPause:    minTargetsPause,
 	}
+	f.UseEpochs(&epoch.Tracker{})
+	return f
 }
 
 // sinceEpoch converts a time to the form in which the atomic fields hold it.
@@ -175,15 +184,19 @@
 		}
 		f.noteRecovery("operator")
 		f.NoteAnswer()
-		f.observeRevision(o.Revision, sent)
+		if !f.epochs.Observe(o.Epoch) {
+			f.pause(ctx)
+			continue
+		}
+		f.observeRevision(o.At(), sent)
 		f.applyOperator(o)
-		f.awaitOperatorChange(ctx, o.Revision)
+		f.awaitOperatorChange(ctx, o.At())
 	}
 	return nil
 }
 
 // awaitOperatorChange waits until the operator data have to be read again: after a change, after a failed call, or once another host's views are used instead.
-func (f *Follower) awaitOperatorChange(ctx context.Context, after uint64) {
+func (f *Follower) awaitOperatorChange(ctx context.Context, after epoch.Revision) {
 	for ctx.Err() == nil && !f.FedByPeer() {
 		asked := f.clock.Now()
 		f.operatorAnswerDue.Store(f.sinceEpoch(asked.Add(f.watchWait)))
@@ -191,12 +204,12 @@
 		switch {
 		case errors.Is(err, ErrCompacted):
 			f.NoteAnswer()
-			f.log.Info("store has compacted the history, reading the operator data again", zap.Uint64("after", after))
+			f.log.Info("store has compacted the history, reading the operator data again", zap.Stringer("after", after))
 			return
 		case err != nil && f.clock.Since(asked) < f.watchWait:
 			// A call that waits may fail although the store is up; the reading that follows shows whether the store can be reached.
 			f.scope.Counter("calls_cut").Inc(1)
-			f.log.Info("watch of operator data failed, reading the operator data again", zap.Uint64("after", after), zap.Error(err))
+			f.log.Info("watch of operator data failed, reading the operator data again", zap.Stringer("after", after), zap.Error(err))
 			f.pause(ctx)
 			return
 		case err != nil:
@@ -215,7 +228,7 @@
 }
 
 // observeRevision records that the store was at a revision at a given time, up to which the operator data include all changes. The targets do as well unless they are behind that revision.
-func (f *Follower) observeRevision(revision uint64, at time.Time) {
+func (f *Follower) observeRevision(revision epoch.Revision, at time.Time) {
 	advance(&f.operatorCurrentAt, f.sinceEpoch(at))
 	if !f.revisionLag.observeStore(revision, f.clock.Now()) {
 		advance(&f.targetsCurrentAt, f.sinceEpoch(at))
@@ -229,9 +242,15 @@
 		f.log.Error("cannot decode configuration, keeping the current one", zap.String("cause", o.Unreadable), zap.Uint64("revision", o.Revision))
 	}
 	f.operator.Update(func(old *route.OperatorState) *route.OperatorState {
-		if o.Revision < old.Revision {
+		if o.At().Before(old.At()) {
 			return nil
 		}
+		read := o
+		f.lastOperator.Store(&read)
+		if f.InRestoreGrace() {
+			// The operator may not have written again yet which data centres are out of service.
+			o.Out = unionOf(o.Out, old.Out)
+		}
 		if o.Config == nil || (old.Config != nil && o.Config.Version <= old.Config.Version) || f.shouldHold(o.Config, old.Config) {
 			o.Config = old.Config
 		} else {
@@ -297,6 +316,9 @@
 	}
 	f.noteRecovery("targets")
 	f.NoteAnswer()
+	if !f.epochs.Observe(p.Epoch) {
+		return false
+	}
 	if exact {
 		advance(&f.targetsCurrentAt, f.sinceEpoch(sent))
 	}
@@ -307,18 +329,19 @@
 // awaitTargetChanges waits for changes of targets and applies them. It reports whether later changes can be applied as well; otherwise all targets have to be read again.
 func (f *Follower) awaitTargetChanges(ctx context.Context) bool {
 	asked := f.clock.Now()
-	u, err := f.store.AwaitTargets(ctx, f.View().Revision, f.targetsWait(asked))
+	after := f.View().At()
+	u, err := f.store.AwaitTargets(ctx, after, f.targetsWait(asked))
 	switch {
 	case errors.Is(err, ErrCompacted):
 		f.NoteAnswer()
-		f.log.Info("store has compacted the history, reading all targets again", zap.Uint64("after", f.View().Revision))
+		f.log.Info("store has compacted the history, reading all targets again", zap.Stringer("after", after))
 		return false
 	case ctx.Err() != nil:
 		return false
 	case err != nil:
 		// A call that waits may fail although the store is up; the reading that follows shows whether the store can be reached.
 		f.scope.Counter("calls_cut").Inc(1)
-		f.log.Info("watch of targets failed, reading all targets again", zap.Uint64("after", f.View().Revision), zap.Error(err))
+		f.log.Info("watch of targets failed, reading all targets again", zap.Stringer("after", after), zap.Error(err))
 		return false
 	}
 	f.NoteAnswer()
@@ -397,16 +420,16 @@
 
 // logLag logs once when the targets have been behind the store for lagLogThreshold, and again when they have caught up.
 func (f *Follower) logLag(now time.Time) {
-	lag, shouldLog := f.revisionLag.observeTargets(f.View().Revision, now)
+	lag, shouldLog := f.revisionLag.observeTargets(f.View().At(), now)
 	if !shouldLog || f.FedByPeer() {
 		return
 	}
 	store, targets := f.revisionLag.revisions()
 	message := "targets have caught up with the store"
-	if targets < store {
+	if targets.Before(store) {
 		message = "targets are behind the store"
 	}
-	f.log.Info(message, zap.Uint64("revision", targets), zap.Uint64("store", store), zap.Int64("behind_ms", lag.Milliseconds()))
+	f.log.Info(message, zap.Stringer("revision", targets), zap.Stringer("store", store), zap.Int64("behind_ms", lag.Milliseconds()))
 }
 
 // TargetsLag returns how long the targets have been known to be behind the store. It is zero while the views come from another host, because the lag is unknown then.
@@ -473,8 +496,14 @@
 		return
 	}
 	f.log.Info("store responds again after an outage", zap.Int64("silent_ms", silent.Milliseconds()))
-	f.outageEnd.Store(now)
+	f.keepMissingTargets()
+}
+
+// keepMissingTargets keeps targets that are missing from the store until they should have registered again.
+func (f *Follower) keepMissingTargets() {
+	f.outageEnd.Store(f.sinceEpoch(f.clock.Now()))
 	f.clock.AfterFunc(roster.OutageGrace, func() {
-		f.applyUpdate(roster.Update{Revision: f.View().Revision}, f.clock.Now())
+		at := f.View().At()
+		f.applyUpdate(roster.Update{Epoch: at.Epoch, Revision: at.Number}, f.clock.Now())
 	})
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/coord"
+	"kingcupcross/epoch"
 	"kingcupcross/roster"
 	"kingcupcross/route"
 	"kingcupcross/timer"
@@ -41,6 +42,8 @@
 	missTargets bool
 	// compactedTo is the revision before which the history is gone.
 	compactedTo uint64
+	// epoch rises with each restore of the store from an older copy.
+	epoch uint64
 	// calls counts the calls of all kinds.
 	calls int
 	// latency is how long each reading takes.
@@ -208,10 +211,19 @@
 			if s.down || s.operatorDown {
 				return route.OperatorState{}, errDown
 			}
-			return s.operator, nil
+			o := s.operator
+			o.Epoch = s.epoch
+			return o, nil
+		},
+		AwaitOperator: func(ctx context.Context, after epoch.Revision, wait time.Duration) (epoch.Revision, bool, error) {
+			revision, changed, err := s.awaitOperator(ctx, after.Number, wait)
+			return s.at(revision), changed, s.compactedIfRestored(after, err)
+		},
+		AwaitTargets: func(ctx context.Context, after epoch.Revision, wait time.Duration) (roster.Update, error) {
+			u, err := s.awaitTargets(ctx, after.Number, wait)
+			u.Epoch = s.at(0).Epoch
+			return u, s.compactedIfRestored(after, err)
 		},
-		AwaitOperator: s.awaitOperator,
-		AwaitTargets:  s.awaitTargets,
 		Targets: func(_ context.Context, exact bool) (roster.Listing, error) {
 			s.sleepLatency()
 			s.mu.Lock()
@@ -223,11 +235,28 @@
 			if !exact && s.staleListing != nil {
 				return *s.staleListing, nil
 			}
-			return s.listing, nil
+			p := s.listing
+			p.Epoch = s.epoch
+			return p, nil
 		},
 	}
 }
 
+// at returns a revision in the store's present epoch.
+func (s *fakeStore) at(revision uint64) epoch.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return epoch.Revision{Epoch: s.epoch, Number: revision}
+}
+
+// compactedIfRestored returns err, or ErrCompacted if the store was restored since a revision.
+func (s *fakeStore) compactedIfRestored(after epoch.Revision, err error) error {
+	if err == nil && s.at(0).Epoch != after.Epoch {
+		return ErrCompacted
+	}
+	return err
+}
+
 // sleepLatency waits for the latency of a reading.
 func (s *fakeStore) sleepLatency() {
 	s.mu.Lock()
@@ -269,6 +298,10 @@
 		if missChanges {
 			return after, false, nil
 		}
+		if s.operator.Revision > after {
+			// The change came in the moment in which the wait ended.
+			return s.operator.Revision, true, nil
+		}
 		return max(after, s.listing.Revision), false, nil
 	case <-ctx.Done():
 		return after, false, ctx.Err()
--- a/follow/packed.go
+++ b/follow/packed.go
@@ -42,23 +42,23 @@
 
 // packCache caches the last packed value, because many hosts ask for the same one.
 type packCache struct {
-	mu     sync.Mutex
-	hash   uint64
-	packed Packed
+	mu          sync.Mutex
+	epoch, hash uint64
+	packed      Packed
 }
 
-// get returns the packed form of v, whose hash is hash.
-func (k *packCache) get(hash uint64, v any) (Packed, error) {
+// get returns the packed form of v, which is from an epoch of the store and has a hash.
+func (k *packCache) get(epoch, hash uint64, v any) (Packed, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.packed != nil && k.hash == hash {
+	if k.packed != nil && k.epoch == epoch && k.hash == hash {
 		return k.packed, nil
 	}
 	p, err := pack(v)
 	if err != nil {
 		return nil, err
 	}
-	k.hash, k.packed = hash, p
+	k.epoch, k.hash, k.packed = epoch, hash, p
 	return p, nil
 }
 
--- a/front/front.go
+++ b/front/front.go
@@ -64,6 +64,8 @@
 	store        *platform.Store
 	dialer       *wire.Dialer
 	pool         *pool.Pool
+	// storeRestored receives a value after the store was restored from an older copy. It holds at most one value.
+	storeRestored chan struct{}
 	// leaving is set from the signal to stop on.
 	leaving atomic.Bool
 	// cutOff is set while the host is cut off from other hosts and can't serve.
@@ -89,6 +91,8 @@
 		pool:         pool.New(clock, int64(c.Memory)/bodyMemoryDivisor, m.Scope.SubScope("pool")),
 		store:        store,
 		dialer:       wire.NewDialer(),
+
+		storeRestored: make(chan struct{}, 1),
 	}
 	f.follow = follow.New(clock, follow.Store{
 		Operator:      store.Operator,
@@ -96,6 +100,8 @@
 		Targets:       store.Targets,
 		AwaitTargets:  store.AwaitTargets,
 	}, c.ChangeDeadline(), c.OutageUntilExpiry(), l.For("follow"), m.Scope.SubScope("follow"))
+	f.follow.UseEpochs(store.Epochs)
+	store.Epochs.Subscribe(f.signalRestore)
 	store.OnUnreadableEntry = f.follow.NoteUnreadable
 	store.OnCall = func(call string) {
 		m.Scope.SubScope("store").Tagged(map[string]string{"call": call}).Counter("calls").Inc(1)
--- a/front/members.go
+++ b/front/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -23,6 +24,8 @@
 	membersPeriod = 2 * time.Second
 	// firstMembersDelay is the time after which all hosts of a fleet that starts for the first time have registered, so that the list of hosts is complete.
 	firstMembersDelay = 1200 * time.Millisecond
+	// maxRestoreJitter spreads the registrations of all hosts after a restore of the store, within the two seconds in which they have to be back.
+	maxRestoreJitter = 600 * time.Millisecond
 	// greetPeriod is the time between two greetings. As several hosts greet it, a host that has started is greeted within about a second.
 	greetPeriod = time.Second
 	// pingTimeout is how long a host may take to answer a call that needs no work: a round trip between regions and a busy processor.
@@ -105,7 +108,7 @@
 
 // keepRegistered keeps this host's entry in the store and the list of hosts up to date until the context ends.
 func (f *Front) keepRegistered(ctx context.Context) error {
-	var lease uint64
+	var lease coord.Lease
 	var renewed time.Time
 	if !f.conf.First {
 		// The list is needed at once, because it holds the hosts whose views this host can read.
@@ -117,15 +120,33 @@
 		switch {
 		case first:
 			wait = firstMembersDelay
-		case !f.follow.FedByPeer():
+		case !f.follow.FedByPeer() && !f.follow.InRestoreGrace():
+			// Right after a restore of the store, the list lacks the hosts that haven't registered again yet.
 			f.readMembers(ctx)
 		}
-		if f.clock.Sleep(ctx, wait) != nil {
+		select {
+		case <-f.clock.After(wait):
+		case <-f.storeRestored:
+			if f.clock.Sleep(ctx, time.Duration(rand.Float64()*float64(maxRestoreJitter))) != nil {
+				return nil
+			}
+		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// signalRestore makes the host register again after the store was restored from an older copy, which may lack its entry.
+func (f *Front) signalRestore(old, _ uint64) {
+	if old == 0 {
+		return
+	}
+	select {
+	case f.storeRestored <- struct{}{}:
+	default:
+	}
+}
+
 // readMembers replaces the list of hosts by the entries in the store.
 func (f *Front) readMembers(ctx context.Context) {
 	members, err := f.store.Members(ctx)
@@ -157,24 +178,29 @@
 }
 
 // renewEntry registers this host or renews its entry; a host that is leaving removes its entry. It returns the lease, zero where there is no entry, and the time of the last renewal.
-func (f *Front) renewEntry(ctx context.Context, lease uint64, renewed time.Time) (uint64, time.Time) {
+func (f *Front) renewEntry(ctx context.Context, lease coord.Lease, renewed time.Time) (coord.Lease, time.Time) {
 	now := f.clock.Now()
+	none := coord.Lease{}
+	if lease != none && lease.Epoch != f.store.Epochs.Current() {
+		f.log.Info("entry of this host is from an earlier epoch of the store", zap.Uint64("epoch", lease.Epoch))
+		lease = none
+	}
 	switch {
 	case f.leaving.Load():
-		if lease == 0 {
-			return 0, renewed
+		if lease == none {
+			return none, renewed
 		}
 		if err := f.store.Unregister(ctx, lease); err != nil {
 			f.log.Info("entry of this host can't be removed, it expires instead", zap.Error(err))
 		}
-		return 0, renewed
-	case lease == 0 && f.follow.StoreUnreachable():
-		return 0, renewed
-	case lease == 0:
+		return none, renewed
+	case lease == none && f.follow.StoreUnreachable():
+		return none, renewed
+	case lease == none:
 		granted, err := f.store.Register(ctx, f.coord.Self, memberTTL)
 		if err != nil {
 			f.log.Info("this host can't be registered", zap.Error(err))
-			return 0, renewed
+			return none, renewed
 		}
 		return granted, now
 	case now.Sub(renewed) < renewPeriod:
@@ -183,7 +209,7 @@
 	switch err := f.store.Renew(ctx, lease); {
 	case fault.Is(err, fault.Conflict):
 		f.log.Info("entry of this host has expired")
-		return 0, renewed
+		return none, renewed
 	case err != nil:
 		f.log.Info("entry of this host can't be renewed", zap.Error(err))
 		return lease, renewed
--- a/front/members_test.go
+++ b/front/members_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,7 +94,7 @@
 		f.readMembers(ctx)
 		return len(f.coord.Members())
 	}
-	lease, renewed := f.renewEntry(ctx, 0, time.Time{})
+	lease, renewed := f.renewEntry(ctx, coord.Lease{}, time.Time{})
 	require.NotZero(t, lease)
 	require.Equal(t, 1, registered())
 	sameLease, renewedAt := f.renewEntry(ctx, lease, renewed.Add(-renewPeriod))
@@ -103,7 +104,7 @@
 	expired, _ := f.renewEntry(ctx, lease, renewed.Add(-renewPeriod))
 	require.Zero(t, expired)
 	require.Zero(t, registered())
-	newLease, renewed := f.renewEntry(ctx, 0, renewed)
+	newLease, renewed := f.renewEntry(ctx, coord.Lease{}, renewed)
 	require.NotZero(t, newLease)
 	require.Equal(t, 1, registered())
 	f.leaving.Store(true)
@@ -111,3 +112,39 @@
 	require.Zero(t, leftLease)
 	require.Zero(t, registered())
 }
+
+// TestHostRegistersAgainAfterRestore guards against a host that is missing from the list of hosts after the store was restored from a copy without its entry, until its next renewal seconds later.
+func TestHostRegistersAgainAfterRestore(t *testing.T) {
+	f, store := newFront(t, "h1")
+	store.StateEpoch()
+	older := store.Copy()
+	var calls []string
+	var mu sync.Mutex
+	f.store.OnCall = func(call string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if call != "range_hosts" {
+			calls = append(calls, call)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- f.keepRegistered(ctx) }()
+	registered := func() bool {
+		members, err := f.store.Members(ctx)
+		return err == nil && len(members) == 1
+	}
+	require.Eventually(t, registered, 20*time.Second, 10*time.Millisecond)
+	mu.Lock()
+	calls = nil
+	mu.Unlock()
+	store.Restore(older)
+	require.False(t, registered(), "this call shows the new epoch")
+	require.Eventually(t, registered, 20*time.Second, 10*time.Millisecond)
+	mu.Lock()
+	require.Equal(t, []string{"lease", "txn"}, calls, "the old lease is not renewed")
+	mu.Unlock()
+	cancel()
+	require.NoError(t, <-ended)
+}
--- a/mock/store.go
+++ b/mock/store.go
@@ -62,6 +62,16 @@
 	changed chan struct{}
 	// staleReads is the state that reads with allowStale return; if it is nil, they return the current state.
 	staleReads *staleSnapshot
+	// epoch is stated in all answers and rises by one with each Restore; zero states none.
+	epoch uint64
+}
+
+// Copy is a copy of a store's contents.
+type Copy struct {
+	revision  uint64
+	rows      map[string]row
+	leases    map[uint64]lease
+	lastLease uint64
 }
 
 // staleSnapshot is the content of a store at some revision.
@@ -80,6 +90,44 @@
 	}
 }
 
+// StateEpoch makes the store state its epoch in all answers from now on.
+func (s *Store) StateEpoch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = max(s.epoch, 1)
+}
+
+// Copy returns a copy of the present contents.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{
+		revision:  s.revision,
+		rows:      maps.Clone(s.rows),
+		leases:    map[uint64]lease{},
+		lastLease: s.lastLease,
+	}
+	for id, l := range s.leases {
+		c.leases[id] = *l
+	}
+	return c
+}
+
+// Restore replaces the contents by an older copy and begins the next epoch. Revisions and ids of leases are given out again, and the history is gone.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.revision, s.rows, s.lastLease = c.revision, maps.Clone(c.rows), c.lastLease
+	s.history, s.compactedRevision, s.staleReads = nil, c.revision, nil
+	s.leases = map[uint64]*lease{}
+	for id, l := range c.leases {
+		s.leases[id] = &l
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // SetMode changes the mode for all calls from now on.
 func (s *Store) SetMode(m Mode) {
 	s.mu.Lock()
@@ -167,6 +215,9 @@
 	s.mu.Lock()
 	mode := s.mode
 	s.expireLeases(time.Now())
+	if s.epoch > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.epoch, 10))
+	}
 	s.mu.Unlock()
 	switch mode {
 	case Unavailable:
@@ -246,7 +297,7 @@
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
-		if after < s.compactedRevision {
+		if after < s.compactedRevision || after > s.revision {
 			s.mu.Unlock()
 			return http.StatusGone, nil
 		}
--- a/relay/delegation_test.go
+++ b/relay/delegation_test.go
@@ -18,7 +18,7 @@
 func (l *testCluster) setRegionalRoute(forward func(*Request) (*Answer, error)) {
 	l.setFanoutRoute(20, 0.89)
 	l.view.Services = nil
-	l.view = l.view.Merge(l.view.Listing(), time.Now(), time.Time{})
+	l.view = l.view.Merge(l.view.Listing(time.Now()), time.Now(), time.Time{})
 	for i := range 20 {
 		s := fmt.Sprintf("s%02d", i)
 		near := l.view.Services[s][0]
--- a/relay/leaving_test.go
+++ b/relay/leaving_test.go
@@ -11,7 +11,7 @@
 func (l *testCluster) takeTargetOut(id string, draining bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.view.Listing()
+	p := l.view.Listing(time.Now())
 	p.Revision++
 	kept := p.Targets[:0]
 	for _, t := range p.Targets {
--- a/relay/notices_test.go
+++ b/relay/notices_test.go
@@ -26,7 +26,7 @@
 func (l *testCluster) restartTarget(service string, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.view.Listing()
+	p := l.view.Listing(time.Now())
 	p.Revision++
 	id := l.view.Services[service][n].ID
 	for i := range p.Targets {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"kingcupcross/epoch"
 )
 
 // Target is the description of a target from its entry in the platform's store.
@@ -32,12 +34,20 @@
 // Listing is a complete listing of the targets in the store.
 type Listing struct {
 	Targets []Target
-	// Revision is the store's revision that the listing shows; it may be older than the store's latest.
+	// Revision is the store's revision that the listing shows, Epoch the store's epoch; the revision may be older than the store's latest.
 	Revision uint64
+	Epoch    uint64
+	// Missing holds, for the listed targets that are kept although their entries are missing from the store, how long these have been missing.
+	Missing map[string]time.Duration
 	// Unreadable is the number of entries that were left out because they can't be decoded.
 	Unreadable int
 }
 
+// At returns the state of the store that the listing shows.
+func (l *Listing) At() epoch.Revision {
+	return epoch.Revision{Epoch: l.Epoch, Number: l.Revision}
+}
+
 // Entry is a target with the state that this host keeps about it.
 type Entry struct {
 	Target
@@ -53,21 +63,59 @@
 	Entries map[string]*Entry
 	// Services holds the targets by service that may get work: all but the draining ones.
 	Services map[string][]*Entry
-	// Revision is the store's revision of the last reading.
+	// Revision is the store's revision of the last reading, Epoch the store's epoch.
 	Revision uint64
+	Epoch    uint64
 	// ReadAt is the time of the last reading, zero before the first.
 	ReadAt time.Time
 	// Hash is a hash of the targets' ids and revisions, the same for views with the same targets in the same state.
 	Hash uint64
 	// missingCount is the number of targets that are kept although their entries are missing from the store.
 	missingCount int
+	// removed holds the targets whose entries were removed lately.
+	removed map[string]removedTarget
+}
+
+// removedTarget is the process of a target whose entry was removed from the store.
+type removedTarget struct {
+	born time.Time
+	at   time.Time
+}
+
+// removedRetention is how long removed targets are remembered: longer than a copy from which the store is restored is old.
+const removedRetention = 10 * time.Minute
+
+// At returns the state of the store that the view shows.
+func (v *View) At() epoch.Revision {
+	return epoch.Revision{Epoch: v.Epoch, Number: v.Revision}
+}
+
+// HasMissing reports whether the view keeps targets whose entries are missing from the store.
+func (v *View) HasMissing() bool {
+	return v.missingCount > 0
 }
 
-// Listing returns a listing of the view's targets.
-func (v *View) Listing() Listing {
-	p := Listing{Revision: v.Revision}
+// targets returns the view's targets in the order of their ids.
+func (v *View) targets() []Target {
+	var all []Target
 	for _, id := range slices.Sorted(maps.Keys(v.Entries)) {
-		p.Targets = append(p.Targets, v.Entries[id].Target)
+		all = append(all, v.Entries[id].Target)
+	}
+	return all
+}
+
+// Listing returns a listing of the view's targets as of a time.
+func (v *View) Listing(now time.Time) Listing {
+	p := Listing{
+		Epoch:    v.Epoch,
+		Revision: v.Revision,
+		Targets:  v.targets(),
+		Missing:  map[string]time.Duration{},
+	}
+	for id, e := range v.Entries {
+		if !e.MissingSince.IsZero() {
+			p.Missing[id] = now.Sub(e.MissingSince)
+		}
 	}
 	return p
 }
@@ -80,33 +128,46 @@
 // OutageGrace is how long after an outage of the store entries that expired during it are still expected to come back. The platform promises this within about two seconds.
 const OutageGrace = 2500 * time.Millisecond
 
-// Merge returns the view after a complete reading of the store; recoveredAt is when the store became reachable again after an outage, zero if there was none.
+// Merge returns the view after a complete reading of the store; recoveredAt is when the store became reachable again after an outage or was restored from an older copy, zero if neither has happened.
 //
-// It returns nil if the reading is older than the last one.
+// It returns nil if the reading is older than the last one. In the first reading of a new epoch, targets that were draining or had been removed are draining, whatever the copy shows, until their entries change.
 func (v *View) Merge(p Listing, now, recoveredAt time.Time) *View {
-	if p.Revision < v.Revision {
+	if p.At().Before(v.At()) {
 		return nil
 	}
+	inGrace := !recoveredAt.IsZero() && now.Sub(recoveredAt) < OutageGrace
 	next := &View{
 		Entries:  make(map[string]*Entry, len(p.Targets)),
 		Services: make(map[string][]*Entry, len(v.Services)),
 		Revision: p.Revision,
+		Epoch:    p.Epoch,
 		ReadAt:   now,
 	}
 	for _, t := range p.Targets {
-		next.Entries[t.ID] = v.entryFor(t, now)
+		if old := v.Entries[t.ID]; inGrace && old != nil && t.Born.Before(old.Born) {
+			// The copy shows an earlier process of the target, which will write its entry again.
+			continue
+		}
+		missingFor, missing := p.Missing[t.ID]
+		if missing && !v.ReadAt.IsZero() && (v.Entries[t.ID] == nil || v.Entries[t.ID].Draining) {
+			// Another host still waits for an entry that this one knows to be gone.
+			continue
+		}
+		if p.Epoch != v.Epoch && v.Epoch != 0 && v.hasLeft(t) {
+			t.Draining = true
+		}
+		e := v.entryFor(t, p.Epoch, now)
+		if missing {
+			e = e.missingSince(now.Add(-missingFor))
+			next.missingCount++
+		}
+		next.Entries[t.ID] = e
 	}
 	// Entries that expired during an outage are written again within the grace period, so their targets stay in use until then.
-	if !recoveredAt.IsZero() && now.Sub(recoveredAt) < OutageGrace {
-		for id, e := range v.Entries {
-			if next.Entries[id] == nil && !e.Draining {
-				kept := *e
-				if kept.MissingSince.IsZero() {
-					kept.MissingSince = now
-				}
-				next.Entries[id] = &kept
-				next.missingCount++
-			}
+	for id, e := range v.Entries {
+		if next.Entries[id] == nil && !e.Draining && (inGrace || (recoveredAt.IsZero() && e.isMissingInGrace(now))) {
+			next.Entries[id] = e.missingSince(now)
+			next.missingCount++
 		}
 	}
 	sum := xxhash.New()
@@ -119,14 +180,72 @@
 		_, _ = fmt.Fprintf(sum, "%s/%d/", id, e.Revision)
 	}
 	next.Hash = sum.Sum64()
+	next.removed = v.removedAfter(next, now)
 	return next
 }
 
-// entryFor returns the entry of a listed target: the existing one if it is unchanged, so that ColdUntil stays, or else a new one.
-func (v *View) entryFor(t Target, now time.Time) *Entry {
+// isMissingInGrace reports whether another host has told that the entry is missing, and it may still be written again.
+func (e *Entry) isMissingInGrace(now time.Time) bool {
+	return !e.MissingSince.IsZero() && now.Sub(e.MissingSince) < OutageGrace
+}
+
+// missingSince returns the entry, marked as missing from the store since a time unless it was missing before.
+func (e *Entry) missingSince(now time.Time) *Entry {
+	if !e.MissingSince.IsZero() {
+		return e
+	}
+	missing := *e
+	missing.MissingSince = now
+	return &missing
+}
+
+// hasLeft reports whether a target's process was draining or had been removed in this view.
+func (v *View) hasLeft(t Target) bool {
+	if old := v.Entries[t.ID]; old != nil {
+		return old.Draining && old.Born.Equal(t.Born)
+	}
+	r, found := v.removed[t.ID]
+	return found && r.born.Equal(t.Born)
+}
+
+// removedAfter returns the targets removed lately, with those that are in this view and not in the next one.
+func (v *View) removedAfter(next *View, now time.Time) map[string]removedTarget {
+	removed := map[string]removedTarget{}
+	for id, r := range v.removed {
+		if next.Entries[id] == nil && now.Sub(r.at) < removedRetention {
+			removed[id] = r
+		}
+	}
+	for id, e := range v.Entries {
+		if next.Entries[id] == nil {
+			removed[id] = removedTarget{born: e.Born, at: now}
+		}
+	}
+	return removed
+}
+
+// sameAs reports whether two entries of a target are equal but for their revision.
+func (t *Target) sameAs(other *Target) bool {
+	a, b := *t, *other
+	sameBorn := a.Born.Equal(b.Born)
+	a.Revision, a.Born, b.Revision, b.Born = 0, time.Time{}, 0, time.Time{}
+	return sameBorn && a == b
+}
+
+// entryFor returns the entry of a target listed in an epoch: the existing one if it is unchanged, so that ColdUntil stays, or else a new one.
+func (v *View) entryFor(t Target, listedIn uint64, now time.Time) *Entry {
 	old := v.Entries[t.ID]
-	if old != nil && old.Revision == t.Revision && old.MissingSince.IsZero() {
-		return old
+	if old != nil && old.MissingSince.IsZero() {
+		switch {
+		case listedIn == v.Epoch && old.Revision == t.Revision:
+			return old
+		case listedIn != v.Epoch && old.sameAs(&t):
+			// Revisions of two epochs can't be compared, and a copy states an old time that is left of a cold start.
+			return &Entry{
+				Target:    t,
+				ColdUntil: old.ColdUntil,
+			}
+		}
 	}
 	e := &Entry{Target: t}
 	if t.Cold > 0 {
--- a/route/operator.go
+++ b/route/operator.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"kingcupcross/epoch"
 )
 
 // OperatorState is the state that the operator sets in the store.
@@ -14,8 +16,14 @@
 	Unreadable string
 	// Out holds the data centres that are to get no work.
 	Out map[string]bool
-	// Revision is the store's revision at the time of reading.
+	// Revision is the store's revision at the time of reading, Epoch the store's epoch.
 	Revision uint64
+	Epoch    uint64
+}
+
+// At returns the state of the store that was read.
+func (o *OperatorState) At() epoch.Revision {
+	return epoch.Revision{Epoch: o.Epoch, Number: o.Revision}
 }
 
 // Hash returns a hash of the configuration's version and the data centres that are out of service.
