--- a/mock/target.go
+++ b/mock/target.go
@@ -156,6 +156,31 @@
 	}
 }
 
+// SetAnswerHeader adds a header field to all later answers, or replaces its value.
+func (t *Target) SetAnswerHeader(name, value string) {
+	t.changeAnswerHeader(func(h http.Header) { h.Set(name, value) })
+}
+
+// RemoveAnswerHeader removes a header field that SetAnswerHeader has added.
+func (t *Target) RemoveAnswerHeader(name string) {
+	t.changeAnswerHeader(func(h http.Header) { h.Del(name) })
+}
+
+// changeAnswerHeader replaces the added header fields by a changed copy.
+func (t *Target) changeAnswerHeader(change func(http.Header)) {
+	for {
+		old := t.AnswerHeader.Load()
+		next := http.Header{}
+		if old != nil {
+			next = old.Clone()
+		}
+		change(next)
+		if t.AnswerHeader.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
 // Close stops the target and its proxy and closes their connections.
 func (t *Target) Close() {
 	t.Proxy.Close()
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -86,6 +86,10 @@
 	// Faults of single hosts are recorded at the host.
 	lastFault    time.Time
 	activeFaults int
+	// statesEpoch is set if the store states its epoch, without which a restore can't be noticed.
+	statesEpoch bool
+	// written holds the last value of each key that the operator or a target has written.
+	written map[string]any
 	// drainStart holds the time at which each draining target began to drain.
 	drainStart map[string]time.Time
 	// quietPeriods are the periods in which targets announced that they want no requests.
@@ -139,7 +143,8 @@
 })
 
 // newCluster starts the store behind a proxy, two targets of each shard's service, the targets of the service "one", and the hosts.
-func newCluster(t *testing.T, program string) *cluster {
+// The store states its epoch if statesEpoch is set.
+func newCluster(t *testing.T, program string, statesEpoch bool) *cluster {
 	w := &cluster{
 		t:            t,
 		program:      program,
@@ -148,6 +153,11 @@
 		requestLog:   mock.NewRequestLog(),
 		datacentreOf: map[string]string{},
 		drainStart:   map[string]time.Time{},
+		written:      map[string]any{},
+		statesEpoch:  statesEpoch,
+	}
+	if statesEpoch {
+		w.store.StateEpoch()
 	}
 	w.server = httptest.NewServer(w.store)
 	t.Cleanup(func() {
@@ -198,7 +208,7 @@
 	defer w.mu.Unlock()
 	w.targets = append(w.targets, target)
 	w.datacentreOf[id] = datacentre
-	w.store.Put("servers/"+id, target.Entry(datacentre, "ready", 1))
+	w.put("servers/"+id, target.Entry(datacentre, "ready", 1))
 }
 
 // drain adds a replacement for a random target and then marks the target as draining in the store.
@@ -208,9 +218,9 @@
 		return
 	}
 	w.addTarget(target.Service, datacentre)
-	w.store.Put("servers/"+target.ID, target.Entry(datacentre, "draining", 2))
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.put("servers/"+target.ID, target.Entry(datacentre, "draining", 2))
 	w.drainStart[target.ID] = time.Now()
 }
 
@@ -221,7 +231,7 @@
 		return
 	}
 	w.addTarget(target.Service, datacentre)
-	target.AnswerHeader.Store(&http.Header{"Server-Leaving": {"1"}})
+	target.SetAnswerHeader("Server-Leaving", "1")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	// The store never shows this target as draining, so the check of drains must not apply to it: its start lies in the future.
@@ -239,11 +249,11 @@
 	began := time.Now()
 	startedBefore := w.processesStarted()
 	setEach(targets, func(t *mock.Target, on bool) {
-		t.AnswerHeader.Store(&http.Header{"Retry-After": {"3.5"}})
+		t.SetAnswerHeader("Retry-After", "3.5")
 		t.RefusesRequests.Store(on)
 	}, true)
 	time.Sleep(d)
-	setEach(targets, func(t *mock.Target, on bool) { t.RefusesRequests.Store(on); t.AnswerHeader.Store(nil) }, false)
+	setEach(targets, func(t *mock.Target, on bool) { t.RefusesRequests.Store(on); t.RemoveAnswerHeader("Retry-After") }, false)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, t := range targets {
@@ -294,7 +304,7 @@
 	fanout := route("all", "idempotent")
 	delete(fanout, "service")
 	fanout["fanoutServices"], fanout["topK"], fanout["minShardShare"] = shardServices, 10, 0.5
-	w.store.Put("op/config", map[string]any{
+	w.put("op/config", map[string]any{
 		"version": w.version,
 		"routes": []any{
 			fanout, route("one", "idempotent"), route("once", "non_idempotent"),
--- a/soak/rate_test.go
+++ b/soak/rate_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -32,10 +31,10 @@
 	for _, service := range []string{"one", fmt.Sprintf("shard%d", r.IntN(shards))} {
 		for _, t := range w.targetsOf(service) {
 			perSecond := []float64{1, 3, 8}[r.IntN(3)]
-			header := http.Header{"Server-Limit": {strconv.FormatFloat(perSecond, 'f', -1, 64)}}
-			if !w.isLeaving(t) && t.AnswerHeader.CompareAndSwap(nil, &header) {
+			if !w.isLeaving(t) {
 				limits[t] = perSecond
-				defer t.AnswerHeader.Store(nil)
+				t.SetAnswerHeader("Server-Limit", strconv.FormatFloat(perSecond, 'f', -1, 64))
+				defer t.RemoveAnswerHeader("Server-Limit")
 				break
 			}
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -201,6 +201,11 @@
 			time.Sleep(2 * d)
 			w.store.ReleaseStaleReads()
 		},
+		func(r *rand.Rand, d time.Duration) {
+			if w.statesEpoch {
+				during(0, func() { w.restoreStore(r, d) }, func() {})
+			}
+		},
 		func(*rand.Rand, time.Duration) { w.configure() },
 		func(r *rand.Rand, _ time.Duration) { w.drain(r) },
 		func(r *rand.Rand, _ time.Duration) { w.announceLeaving(r) },
@@ -213,11 +218,8 @@
 			during(0, func() { w.announceRetryAfter(targets, d) }, func() {})
 		},
 		func(r *rand.Rand, d time.Duration) {
-			header := http.Header{"Server-Limit": {rateLimitValues[r.IntN(len(rateLimitValues))]}}
-			t := randomTarget(r)
-			if t.AnswerHeader.CompareAndSwap(nil, &header) {
-				during(d, func() {}, func() { t.AnswerHeader.CompareAndSwap(&header, nil) })
-			}
+			t, value := randomTarget(r), rateLimitValues[r.IntN(len(rateLimitValues))]
+			during(d, func() { t.SetAnswerHeader("Server-Limit", value) }, func() { t.RemoveAnswerHeader("Server-Limit") })
 		},
 	}
 }
@@ -266,7 +268,7 @@
 // first a phase of faults, then recovery, then a phase in which only some targets state rate limits, then planned changes.
 func runSeed(t *testing.T, program string, s uint64) []string {
 	r := rand.New(rand.NewPCG(s, 7))
-	w := newCluster(t, program)
+	w := newCluster(t, program, r.IntN(2) == 0)
 	require.Eventually(t, func() bool {
 		return !slices.ContainsFunc(w.hosts, func(h *host) bool { return !h.isReady() })
 	}, 30*time.Second, 20*time.Millisecond)
