--- a/cmd/kingcupcross/process_test.go
+++ b/cmd/kingcupcross/process_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -219,7 +221,30 @@
 			return
 		}
 	}
-	c.t.Fatalf("timed out waiting for %s", event)
+	c.t.Fatalf("timed out waiting for %s; processes: %s", event, c.processStates())
+}
+
+// processStates describes which processes run, are stopped or have ended.
+func (c *cluster) processStates() string {
+	var states []string
+	for _, name := range slices.Sorted(maps.Keys(c.running)) {
+		var status syscall.WaitStatus
+		pid, err := syscall.Wait4(c.running[name].Process.Pid, &status, syscall.WNOHANG|syscall.WUNTRACED, nil)
+		state := "runs"
+		switch {
+		case err != nil:
+			state = err.Error()
+		case pid == 0:
+		case status.Stopped():
+			state = "stopped by " + status.StopSignal().String()
+		case status.Signaled():
+			state = "ended by " + status.Signal().String()
+		case status.Exited():
+			state = fmt.Sprint("exited with ", status.ExitStatus())
+		}
+		states = append(states, name+" "+state)
+	}
+	return strings.Join(states, ", ")
 }
 
 // status reads a host's status from its operator interface.
