--- a/coord/rate_limit_test.go
+++ b/coord/rate_limit_test.go
@@ -451,3 +451,34 @@
 		}
 	}
 }
+
+// TestManyHostsKeepSmallRateLimit guards against hosts that each use a little of a small limit: many of them with one saved request each are several times the limit.
+func TestManyHostsKeepSmallRateLimit(t *testing.T) {
+	const hosts, from, to, perSecond = 295, 2 * time.Second, 20 * time.Second, 7.0
+	for _, tc := range []struct {
+		name      string
+		perSecond func(host int) float64
+	}{
+		{name: "all hosts with few callers", perSecond: func(int) float64 { return 0.3 }},
+		{name: "callers at some hosts", perSecond: func(host int) float64 {
+			if host%12 == 0 {
+				return 4
+			}
+			return 0
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			withRateFleet(t, hosts, 2, func(c *rateFleet) {
+				for _, target := range c.targets {
+					target.limit = limitedFrom(from, perSecond)
+				}
+				c.play(to, "/one/1", func(host int, _ time.Duration) float64 { return tc.perSecond(host) })
+				for id := range c.targets {
+					c.requireRateKept(id, from, to, perSecond)
+					used := float64(c.arrivalsBetween(id, from+graceTime, to))
+					require.GreaterOrEqual(t, used, 0.5*perSecond*(to-from-graceTime).Seconds(), "requests to %s", id)
+				}
+			})
+		})
+	}
+}
