--- a/follow/restore_random_test.go
+++ b/follow/restore_random_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,7 +48,7 @@
 // restoreHost is one host of a restoreRun.
 type restoreHost struct {
 	*Follower
-	cut  bool
+	cut  atomic.Bool
 	stop func()
 	// version is the newest version of the configuration that the host has had in force.
 	version uint64
@@ -59,7 +60,7 @@
 func (r *restoreRun) start(h *restoreHost) {
 	client := r.store.client()
 	reachable := func() error {
-		if h.cut {
+		if h.cut.Load() {
 			return errDown
 		}
 		return nil
@@ -176,7 +177,7 @@
 	feed := Feed{Members: members, SetMembers: func([]coord.Member) {}}
 	switch r.random.IntN(6) {
 	case 0:
-		h.cut = !h.cut
+		h.cut.Store(!h.cut.Load())
 	case 1:
 		h.stop()
 		r.start(h)
@@ -249,7 +250,7 @@
 					}
 				}
 				for _, h := range r.hosts {
-					h.cut = false
+					h.cut.Store(false)
 				}
 				r.change()
 				time.Sleep(propagationLimit + roster.OutageGrace + retryPeriod)
