relay: the end of a rate limit is passed on by the host that divides it

Cause: a host whose targets no longer state a limit stopped asking for shares, so that the host that divides the limit never heard of the end and went on telling the others.

--- a/coord/rate_limit_test.go
+++ b/coord/rate_limit_test.go
@@ -452,6 +452,23 @@
 	}
 }
 
+// TestEndOfRateLimitReachesHostsWithoutShare guards against hosts that refuse callers for seconds after a limit has ended, because they have no share of it and so no response that shows the end.
+func TestEndOfRateLimitReachesHostsWithoutShare(t *testing.T) {
+	const from, end = 2 * time.Second, 12 * time.Second
+	withRateFleet(t, 9, 2, func(c *rateFleet) {
+		for _, target := range c.targets {
+			target.limit = func(since time.Duration) (float64, bool) { return 2, since >= from && since < end }
+		}
+		load := func(int, time.Duration) float64 { return 6 }
+		c.play(end+2*coord.RateSharePeriod+100*time.Millisecond, "/one/1", load)
+		c.mu.Lock()
+		refused := c.refused
+		c.mu.Unlock()
+		c.play(end+10*time.Second, "/one/1", load)
+		require.Equal(t, refused, c.refused)
+	})
+}
+
 // TestManyHostsKeepSmallRateLimit guards against hosts that each use a little of a small limit: many of them with one saved request each are several times the limit.
 func TestManyHostsKeepSmallRateLimit(t *testing.T) {
 	const hosts, from, to, perSecond = 295, 2 * time.Second, 20 * time.Second, 7.0
--- a/relay/rate_demand.go
+++ b/relay/rate_demand.go
@@ -56,7 +56,7 @@
 	return r.demand
 }
 
-// RateDemands returns this host's demands for targets with rate limits since the last call.
+// RateDemands returns this host's demands for targets with rate limits since the last call. It includes those whose limit ended recently, so that the end is passed on.
 func (e *Engine) RateDemands() []RateDemand {
 	now, view := e.clock.Now(), e.state.View()
 	var demands []RateDemand
@@ -66,7 +66,7 @@
 			continue
 		}
 		r.mu.Lock()
-		if demand := r.updateDemand(now); r.limited && demand >= minDemand {
+		if demand := r.updateDemand(now); demand >= minDemand {
 			demands = append(demands, RateDemand{
 				Limit:     r.export(now),
 				Region:    entry.Region,
