--- a/coord/rate_limit_test.go
+++ b/coord/rate_limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -499,3 +500,29 @@
 		})
 	}
 }
+
+// TestInvalidRateShareMessagesAreRejected guards against a malformed message of another host that sets a share or limit beyond any sense.
+func TestInvalidRateShareMessagesAreRejected(t *testing.T) {
+	limit := roster.RateLimit{ID: "t", Limited: true, PerSecond: 1}
+	nan := math.NaN()
+	for _, r := range []coord.RateShareRequest{
+		{},
+		{Host: "h", Rank: -1},
+		{Host: "h", Rank: 100},
+		{Host: "h", LimitsShare: 2},
+		{Host: "h", LimitsShare: nan},
+		{Host: "h", Demands: []relay.RateDemand{{PerSecond: 1}}},
+		{Host: "h", Demands: []relay.RateDemand{{Limit: limit, PerSecond: nan}}},
+		{Host: "h", Demands: []relay.RateDemand{{Limit: limit, PerSecond: math.Inf(1)}}},
+		{Host: "h", Demands: []relay.RateDemand{{Limit: roster.RateLimit{ID: "t", PerSecond: nan}}}},
+		{Host: "h", Demands: []relay.RateDemand{{Limit: roster.RateLimit{ID: "t", Age: -1}}}},
+	} {
+		require.Error(t, r.Validate(), "%+v", r)
+	}
+	valid := coord.RateShareRequest{Host: "h", Demands: []relay.RateDemand{{Limit: limit, PerSecond: 3}}}
+	require.NoError(t, valid.Validate())
+	for _, share := range []float64{-1, 1.1, nan} {
+		r := coord.RateShareReply{Shares: []coord.RateShare{{Limit: limit, Share: share}}}
+		require.Error(t, r.Validate(), "%g", share)
+	}
+}
--- a/coord/rateshare.go
+++ b/coord/rateshare.go
@@ -65,6 +65,19 @@
 	Shares []RateShare
 }
 
+// Validate reports the first invalid field.
+func (r *RateShareReply) Validate() error {
+	for _, s := range r.Shares {
+		if err := s.Limit.Validate(); err != nil {
+			return fmt.Errorf("reply with shares of rate limits: %w", err)
+		}
+		if !(s.Share >= 0 && s.Share <= 1) {
+			return fmt.Errorf("reply with shares of rate limits: the share of target %s is %g", s.Limit.ID, s.Share)
+		}
+	}
+	return nil
+}
+
 // RateShare is a host's share of one target's rate limit.
 type RateShare struct {
 	Limit roster.RateLimit
@@ -161,12 +174,15 @@
 	for rank, m := range rateOwners(s.members(), region) {
 		request.Rank = rank
 		reply, err := s.ask(ctx, m, request)
+		if err == nil {
+			err = reply.Validate()
+		}
 		if err == nil {
 			s.apply(reply, sentAt)
 			return
 		}
 		s.scope.Counter("rate_share_failures").Inc(1)
-		s.log.Debug("host did not answer a request for shares of rate limits", zap.String("owner", m.Name), zap.Error(err))
+		s.log.Debug("no shares of rate limits from another host", zap.String("owner", m.Name), zap.Error(err))
 	}
 }
 
