--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -236,3 +236,19 @@
 		require.Zero(t, f.View().Epoch)
 	})
 }
+
+// TestRestoreCausesNoStormOfCalls guards against hosts that all read the store anew after a restore: only those that read it for others do, and the others learn of the restore from them.
+func TestRestoreCausesNoStormOfCalls(t *testing.T) {
+	withCluster(t, false, func(c *cluster) {
+		c.store.modify(func() { c.store.epoch = 1 })
+		time.Sleep(5 * time.Second)
+		var before route.OperatorState
+		var listed roster.Listing
+		c.store.modify(func() { before, listed = c.store.operator, c.store.listing })
+		c.store.restore(before, listed)
+		require.Less(t, c.callsDuring(3*time.Second), clusterHosts)
+		for _, h := range c.hosts {
+			require.EqualValues(t, 2, h.epochs.Current())
+		}
+	})
+}
