--- a/coord/rategrant.go
+++ b/coord/rategrant.go
@@ -42,10 +42,10 @@
 	host        string
 	wanted      float64
 	limitsShare float64
-	// deputy is set if the host could not reach the first owner.
-	deputy bool
-	share  float64
-	until  time.Time
+	// fallback is set if the host could not reach the first owner.
+	fallback bool
+	share    float64
+	until    time.Time
 }
 
 // handle grants the requested shares.
@@ -82,7 +82,7 @@
 		h = &rateHolder{host: r.Host}
 		t.holders[r.Host] = h
 	}
-	h.wanted, h.limitsShare, h.deputy, h.until = d.PerSecond, r.LimitsShare, r.Rank > 0, now.Add(rateLeaseTime+rateGrantMargin)
+	h.wanted, h.limitsShare, h.fallback, h.until = d.PerSecond, r.LimitsShare, r.Rank > 0, now.Add(rateLeaseTime+rateGrantMargin)
 	if now.Sub(t.since) < rateLeaseTime+rateGrantMargin {
 		return reply
 	}
@@ -104,24 +104,24 @@
 
 // total returns the fraction of the limit that may be leased: all of it, or the sum of the holders' equal shares if one of them couldn't reach the first owner, which may lease shares to hosts that can.
 func (t *rateGrant) total() float64 {
-	deputy, sum := false, 0.0
+	fallback, sum := false, 0.0
 	for _, h := range t.holders {
-		deputy = deputy || h.deputy
+		fallback = fallback || h.fallback
 		sum += h.limitsShare
 	}
-	if !deputy {
+	if !fallback {
 		return 1
 	}
 	return min(sum, 1)
 }
 
-// incumbency is the factor by which the demand of a host without a share must exceed what is enough for a host that has one. A share that moves with each change of the demand is never held long enough to save a token.
-const incumbency = 1.5
+// hysteresis is the factor by which the demand of a host without a share must exceed what is enough for a host that has one. A share that moves with each change of the demand is never held long enough to save a token.
+const hysteresis = 1.5
 
-// rank returns the host's demand, higher for one that has a share.
-func (h *rateHolder) rank() float64 {
+// priority returns the host's demand, higher for one that has a share.
+func (h *rateHolder) priority() float64 {
 	if h.share > 0 {
-		return incumbency * h.wanted
+		return hysteresis * h.wanted
 	}
 	return h.wanted
 }
@@ -129,7 +129,7 @@
 // fairShare returns the share of the limit that is proportional to a host's demand. Where that is too small to be used, the hosts with the lowest demand get none.
 func (t *rateGrant) fairShare(of *rateHolder) float64 {
 	all := slices.SortedFunc(maps.Values(t.holders), func(a, b *rateHolder) int {
-		return cmp.Or(cmp.Compare(b.rank(), a.rank()), strings.Compare(a.host, b.host))
+		return cmp.Or(cmp.Compare(b.priority(), a.priority()), strings.Compare(a.host, b.host))
 	})
 	total, wanted := t.total(), 0.0
 	for _, h := range all {
@@ -139,7 +139,7 @@
 		lowest := all[len(all)-1]
 		share := total * lowest.wanted / max(wanted, lowest.wanted)
 		if lowest.share == 0 {
-			share /= incumbency
+			share /= hysteresis
 		}
 		if lowest.wanted > 0 && relay.UsableRateShare(share, t.limit.PerSecond) {
 			break
