epoch: all parts of a host act on a new epoch only once its grace has begun

Cause: the loop that saw the new epoch second took it for known and merged its reading before the first one had told the subscribers, of which one begins the time in which missing targets are kept. The subscribers are now called under the tracker's lock. A store that states no epoch never gets there.

--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -60,7 +60,7 @@
 	return t.current
 }
 
-// Subscribe registers a function that is called after each rise of the epoch, including the first one. It must be called before the first Observe.
+// Subscribe registers a function that is called at each rise of the epoch, including the first one, before any Observe returns for it. The function must not call the Tracker. Subscribe must be called before the first Observe.
 func (t *Tracker) Subscribe(f func(old, current uint64)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -70,15 +70,14 @@
 // Observe records an epoch and reports whether it is the newest one known. An older one belongs to a state of the store that no longer holds.
 func (t *Tracker) Observe(e uint64) bool {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	old := t.current
 	if e <= old {
-		t.mu.Unlock()
 		return e == old
 	}
 	t.current = e
-	subscribers := t.onChange
-	t.mu.Unlock()
-	for _, f := range subscribers {
+	// The lock is held, so that no other caller acts on the new epoch before the subscribers have.
+	for _, f := range t.onChange {
 		f(old, e)
 	}
 	return true
