relay, coord: one place that records a rate limit, one key of a target's process

What a target states itself and what other hosts pass on went through two copies of the same steps: look up, add, set, report. They share setRateLimit. The key of a lease was built in two ways, and expired leases were deleted by a loop beside maps.DeleteFunc. Behaviour and tests are unchanged.

--- a/coord/rategrant.go
+++ b/coord/rategrant.go
@@ -12,9 +12,6 @@
 	"kingcupcross/roster"
 )
 
-// compareNames orders hosts by name.
-func compareNames(a, b Member) int { return strings.Compare(a.Name, b.Name) }
-
 const (
 	// rateGrantMargin is added to rateLeaseTime as the time for which an owner counts a lease, since the host counts from when it sent its request.
 	rateGrantMargin = RateSharePeriod
@@ -55,10 +52,11 @@
 	maps.DeleteFunc(g.targets, func(_ rateKey, t *rateGrant) bool { return now.Sub(t.askedAt) > rateGrantRetention })
 	shares := make([]RateShare, 0, len(r.Demands))
 	for _, d := range r.Demands {
-		t := g.targets[keyOf(d.Limit)]
+		k := keyOf(d.Limit.ID, d.Limit.Born)
+		t := g.targets[k]
 		if t == nil {
 			t = &rateGrant{since: now, holders: map[string]*rateHolder{}}
-			g.targets[keyOf(d.Limit)] = t
+			g.targets[k] = t
 		}
 		t.askedAt = now
 		shares = append(shares, t.handle(r, d, now))
--- a/coord/rateshare.go
+++ b/coord/rateshare.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -112,9 +114,9 @@
 	born int64
 }
 
-// keyOf returns the key of the target process that states a limit.
-func keyOf(l roster.RateLimit) rateKey {
-	return rateKey{id: l.ID, born: l.Born.UnixNano()}
+// keyOf returns the key of a target's process.
+func keyOf(target string, born time.Time) rateKey {
+	return rateKey{id: target, born: born.UnixNano()}
 }
 
 // rateLease is a share that this host may use until a time.
@@ -143,7 +145,7 @@
 func (s *RateShares) Share(target string, born time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l, found := s.leases[rateKey{id: target, born: born.UnixNano()}]; found && s.clock.Now().Before(l.until) {
+	if l, found := s.leases[keyOf(target, born)]; found && s.clock.Now().Before(l.until) {
 		return l.share
 	}
 	return s.limitsShare()
@@ -203,7 +205,7 @@
 	for _, share := range reply.Shares {
 		limits = append(limits, share.Limit)
 		if share.Granted {
-			s.leases[keyOf(share.Limit)] = rateLease{share: share.Share, until: sentAt.Add(rateLeaseTime)}
+			s.leases[keyOf(share.Limit.ID, share.Limit.Born)] = rateLease{share: share.Share, until: sentAt.Add(rateLeaseTime)}
 		}
 	}
 	s.mu.Unlock()
@@ -215,11 +217,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	for k, l := range s.leases {
-		if !now.Before(l.until) {
-			delete(s.leases, k)
-		}
-	}
+	maps.DeleteFunc(s.leases, func(_ rateKey, l rateLease) bool { return !now.Before(l.until) })
 	s.scope.Gauge("rate_leases").Update(float64(len(s.leases)))
 }
 
@@ -247,10 +245,13 @@
 	return nil
 }
 
+// compareNames orders hosts by name.
+func compareNames(a, b Member) int { return strings.Compare(a.Name, b.Name) }
+
 // rateOwners returns the hosts that divide the rate limits of a region's targets, in the order in which they are asked. All hosts that know the same members agree on it.
 func rateOwners(all []Member, region string) []Member {
 	if !slices.ContainsFunc(all, func(m Member) bool { return m.Region == region }) && len(all) > 0 {
-		region = slices.MinFunc(all, func(a, b Member) int { return compareNames(a, b) }).Region
+		region = slices.MinFunc(all, compareNames).Region
 	}
 	owners := Coordinators(all, region, nil)
 	if len(owners) < maxRateOwners {
--- a/relay/rate_statement.go
+++ b/relay/rate_statement.go
@@ -25,18 +25,21 @@
 	if !s.Known {
 		return
 	}
-	r := e.rates.of(t)
-	if !s.Limited && (r == nil || r.heardSince(sentAt)) {
+	if r := e.rates.of(t); r != nil && !s.Limited && r.heardSince(sentAt) {
 		// The target may have prepared this response before it stated the limit.
 		return
 	}
-	if r == nil {
-		if r = e.rates.add(t.ID, t.Service, t.Born); r == nil {
-			return
-		}
+	e.setRateLimit(t, s.Limited, s.PerSecond, now, originTarget)
+}
+
+// setRateLimit records a target's limit, or its end, as of a time. The end of a limit that isn't known is ignored.
+func (e *Engine) setRateLimit(t *roster.Entry, limited bool, perSecond float64, heardAt time.Time, origin string) {
+	r := e.rates.of(t)
+	if r == nil && limited {
+		r = e.rates.add(t.ID, t.Service, t.Born)
 	}
-	if r.set(s.Limited, s.PerSecond, now) {
-		e.reportRateLimit(r, s.Limited, s.PerSecond, originTarget)
+	if r != nil && r.set(limited, perSecond, heardAt) {
+		e.reportRateLimit(r, limited, perSecond, origin)
 	}
 }
 
@@ -89,18 +92,7 @@
 		if entry == nil || !entry.Born.Equal(l.Born) || l.Validate() != nil {
 			continue
 		}
-		r := e.rates.of(entry)
-		if r == nil {
-			if !l.Limited {
-				continue
-			}
-			if r = e.rates.add(l.ID, entry.Service, l.Born); r == nil {
-				continue
-			}
-		}
-		if r.set(l.Limited, l.PerSecond, now.Add(-l.Age)) {
-			e.reportRateLimit(r, l.Limited, l.PerSecond, originHost)
-		}
+		e.setRateLimit(entry, l.Limited, l.PerSecond, now.Add(-l.Age), originHost)
 	}
 }
 
