store: the test of a refused connection holds its port

TestConnectionRefusedMeansNotRun failed 2 of 240 times with six processes of the package's tests at once, 0 of 3,000 alone: it calls a server that it has just closed, and another process may have begun to listen at that port. It now calls a port that stays bound without listening. The assertions are the same.

--- a/store/client_test.go
+++ b/store/client_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -231,10 +232,21 @@
 }
 
 // TestConnectionRefusedMeansNotRun checks that a refused connection is the only failure of a write that certainly had no effect.
+// refusingAddress returns an address that refuses connections. Its port stays bound, so that no other process can begin to listen there.
+func refusingAddress(t *testing.T) netip.AddrPort {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, syscall.Close(socket)) })
+	require.NoError(t, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(socket)
+	require.NoError(t, err)
+	address := bound.(*syscall.SockaddrInet4)
+	return netip.AddrPortFrom(netip.AddrFrom4(address.Addr), uint16(address.Port))
+}
+
 func TestConnectionRefusedMeansNotRun(t *testing.T) {
-	var client *store.Client
-	withStore(t, func(r *testStore) { client = r.Client })
-	_, err := client.Put(ctx, "k", store.Write{})
+	clock, _ := timer.NewManualClock(time.Unix(1000, 0))
+	_, err := store.New(clock, refusingAddress(t)).Put(ctx, "k", store.Write{})
 	require.True(t, fault.Is(err, fault.Store))
 	require.True(t, fault.Of(err).NotRun())
 }
