--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,7 +11,8 @@
 
 // cases holds the cases by the number of their folder. Each returns a description of each break of the rule.
 var cases = map[string]func(*fleet) ([]string, error){
-	"refused": playFailedOrders,
+	"evacuated": playEvacuatedTwice,
+	"refused":   playFailedOrders,
 }
 
 // main plays the case named by the first argument and writes record.txt into the folder named by the second one. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
