--- a/review/_standin/evacuated.go
+++ b/review/_standin/evacuated.go
@@ -32,7 +32,7 @@
 	return all, nil
 }
 
-// playEvacuatedTwice evacuates a data centre twice while the traffic falls and rises, and counts the requests that its targets get too late.
+// playEvacuatedTwice evacuates a data centre twice while the traffic falls and rises, and counts the requests that its targets get too late. Hosts of the third region answer the requests of a route that is served in the region of the evacuated data centre only themselves, also while they have little traffic.
 func playEvacuatedTwice(f *fleet) ([]string, error) {
 	log := mock.NewRequestLog()
 	datacentres := []string{"caspian-aktau", evacuated, "ili-bakanas", "caspian-aktau", evacuated, "ili-bakanas"}
@@ -43,7 +43,9 @@
 	for _, t := range targets {
 		defer t.Close()
 	}
-	f.configure(3, []string{"card"}, route("card", "idempotent", "card"))
+	abroad := route("abroad", "idempotent", "card")
+	abroad["allowedRegions"] = []string{"aral"}
+	f.configure(3, []string{"card"}, route("card", "idempotent", "card"), abroad)
 	if err := f.startAll(); err != nil {
 		return nil, err
 	}
@@ -67,13 +69,16 @@
 					return
 				case <-time.After(time.Duration(pause.Load())):
 				}
-				id := fmt.Sprintf("c%d-%d", i, n)
-				a, err := c.send(h.callers, http.MethodGet, "/card/2f", id, nil, 3*time.Second)
+				id, path := fmt.Sprintf("c%d-%d", i, n), "/card/2f"
+				if h.datacentre == "ili-bakanas" && n%2 == 0 {
+					path = "/abroad/2f"
+				}
+				a, err := c.send(h.callers, http.MethodGet, path, id, nil, 3*time.Second)
 				switch {
 				case err != nil:
-					f.record.add("%s at %s: %v", id, h.name, err)
+					f.record.add("%s %s at %s: %v", id, path, h.name, err)
 				default:
-					f.record.add("%s at %s: %d %s", id, h.name, a.status, a.header.Get("X-Server-Stamp"))
+					f.record.add("%s %s at %s: %d %s", id, path, h.name, a.status, a.header.Get("X-Server-Stamp"))
 				}
 			}
 		})
@@ -98,7 +103,7 @@
 	time.Sleep(12 * time.Second)
 	evacuate(true)
 	bound := time.Now().Add(evacuationBound)
-	time.Sleep(8 * time.Second)
+	time.Sleep(20 * time.Second)
 	setTraffic(usualPause)
 	time.Sleep(5 * time.Second)
 	takenBack := time.Now()
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -22,14 +22,6 @@
 	"kingcupcross/mock"
 )
 
-// Bounds of the small deployment kormsu-search.
-const (
-	stableWindow = 4 * time.Second
-	drainBound   = 3 * time.Second
-	applyBound   = 3 * time.Second
-	grace        = 6 * time.Second
-)
-
 // regionOf holds the region of each data centre.
 var regionOf = map[string]string{"caspian-aktau": "caspian", "aral-aralsk": "aral", "ili-bakanas": "ili"}
 
@@ -58,7 +50,6 @@
 	dir    string
 	store  *mock.Store
 	server *httptest.Server
-	proxy  *proxy
 	hosts  []*host
 	record *record
 }
@@ -118,35 +109,40 @@
 	}
 	f := &fleet{dir: dir, store: mock.NewStore(), record: r}
 	f.server = httptest.NewServer(f.store)
-	if f.proxy, err = newProxy(f.server.Listener.Addr().String()); err != nil {
-		return nil, err
-	}
 	for _, n := range hostNames {
-		h := &host{
-			name:       n[0],
-			datacentre: n[1],
-			settings:   filepath.Join(dir, n[0]+".json"),
-			callers:    freeAddress(),
-			ready:      freeAddress(),
-		}
-		text, err := json.Marshal(map[string]any{
-			"name": h.name, "region": regionOf[h.datacentre], "datacentre": h.datacentre, "datacentres": regionOf,
-			"callers": h.callers, "ready": h.ready, "requests": freeAddress(), "views": freeAddress(),
-			"metrics": netip.MustParseAddrPort(freeAddress()).Port(), "cores": 0.4, "memory": "284MiB",
-			"store": f.proxy.address, "first": true, "grace": "6s", "apply": "3000ms", "leave": "3000ms", "out": "5000ms",
-			"beat": "1200ms", "extra": 0.2, "slack": 54, "heat": 1.5, "margin": 5,
-		})
-		if err != nil {
+		if _, err := f.addHost(n[0], n[1]); err != nil {
 			return nil, err
 		}
-		if err := os.WriteFile(h.settings, text, 0o600); err != nil {
-			return nil, err
-		}
-		f.hosts = append(f.hosts, h)
 	}
 	return f, nil
 }
 
+// addHost writes the settings of a host.
+func (f *fleet) addHost(name, datacentre string) (*host, error) {
+	h := &host{
+		name:       name,
+		datacentre: datacentre,
+		settings:   filepath.Join(f.dir, name+".json"),
+		callers:    freeAddress(),
+		ready:      freeAddress(),
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": h.name, "region": regionOf[h.datacentre], "datacentre": h.datacentre, "datacentres": regionOf,
+		"callers": h.callers, "ready": h.ready, "requests": freeAddress(), "views": freeAddress(),
+		"metrics": netip.MustParseAddrPort(freeAddress()).Port(), "cores": 0.4, "memory": "284MiB",
+		"store": f.server.Listener.Addr().String(), "first": true, "grace": "6s", "apply": "3000ms", "leave": "3000ms", "out": "5000ms",
+		"beat": "1200ms", "extra": 0.2, "slack": 54, "heat": 1.5, "margin": 5,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(h.settings, text, 0o600); err != nil {
+		return nil, err
+	}
+	f.hosts = append(f.hosts, h)
+	return h, nil
+}
+
 // start starts a host's process with the command of the deploy file.
 func (f *fleet) start(h *host) error {
 	out, err := os.OpenFile(filepath.Join(f.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -210,7 +206,6 @@
 			<-h.exited
 		}
 	}
-	f.proxy.close()
 	f.server.CloseClientConnections()
 	f.server.Close()
 	if os.Getenv("KEEP") == "" {
@@ -302,98 +297,5 @@
 	f.record.add("store acknowledges %s of %s as %s", id, service, state)
 }
 
-// proxy forwards TCP connections to an address. Connections that are open when silence is called carry nothing any more, without being closed; later ones work.
-type proxy struct {
-	address  string
-	upstream string
-	listener net.Listener
-	mu       sync.Mutex
-	open     map[net.Conn]bool
-	// quiet is closed by silence and replaced for later connections.
-	quiet chan struct{}
-}
-
-func newProxy(upstream string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	p := &proxy{address: l.Addr().String(), upstream: upstream, listener: l, open: map[net.Conn]bool{}, quiet: make(chan struct{})}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(c)
-		}
-	}()
-	return p, nil
-}
-
-// silence makes all open connections silent for good.
-func (p *proxy) silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	close(p.quiet)
-	p.quiet = make(chan struct{})
-}
-
-func (p *proxy) serve(c net.Conn) {
-	u, err := net.Dial("tcp", p.upstream)
-	if err != nil {
-		c.Close()
-		return
-	}
-	p.mu.Lock()
-	p.open[c], p.open[u] = true, true
-	quiet := p.quiet
-	p.mu.Unlock()
-	var both sync.WaitGroup
-	copyTo := func(to, from net.Conn) {
-		buffer := make([]byte, 32<<10)
-		for {
-			n, err := from.Read(buffer)
-			select {
-			case <-quiet:
-				// The bytes are lost; a close of the other side isn't passed on either.
-				if err != nil {
-					return
-				}
-				continue
-			default:
-			}
-			if n > 0 {
-				if _, err := to.Write(buffer[:n]); err != nil {
-					break
-				}
-			}
-			if err != nil {
-				break
-			}
-		}
-		to.Close()
-		from.Close()
-	}
-	both.Go(func() { copyTo(u, c) })
-	both.Go(func() { copyTo(c, u) })
-	both.Wait()
-	c.Close()
-	u.Close()
-	p.mu.Lock()
-	delete(p.open, c)
-	delete(p.open, u)
-	p.mu.Unlock()
-}
-
-func (p *proxy) close() {
-	p.listener.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.open {
-		c.Close()
-	}
-}
-
 // trouble reports whether the run includes the disruption.
 func trouble() bool { return strings.TrimSpace(os.Getenv("TROUBLE")) != "0" }
