--- a/review/_standin/refused.go
+++ b/review/_standin/refused.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kingcupcross/mock"
@@ -16,6 +17,9 @@
 // greyFailures is the share of its requests that the failing target fails, as the site file names it for this deployment. One target of seven fails, a share of 0.14.
 const greyFailures = 0.45
 
+// greyTime is how long it fails them, as the site file names it.
+const greyTime = 6500 * time.Millisecond
+
 // ledger records the runs of requests and the orders that were applied.
 type ledger struct {
 	mu   sync.Mutex
@@ -29,7 +33,8 @@
 	id     string
 	ledger *ledger
 	record *record
-	grey   bool
+	// grey is set while the target fails a share of the requests.
+	grey atomic.Bool
 }
 
 func (t *greyTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -55,7 +60,7 @@
 	time.Sleep(20 * time.Millisecond)
 	w.Header().Set("X-Server-Stamp", mock.Signature(t.id, "ledger", id))
 	status := http.StatusOK
-	if t.grey && rand.Float64() < greyFailures {
+	if t.grey.Load() && rand.Float64() < greyFailures {
 		// Without X-Not-Executed: the request has run.
 		status = http.StatusServiceUnavailable
 	}
@@ -68,9 +73,10 @@
 func playFailedOrders(f *fleet) ([]string, error) {
 	l := &ledger{runs: map[string]int{}, orders: map[string]int{}}
 	const count = 7
+	var failing *greyTarget
 	datacentres := []string{"caspian-aktau", "aral-aralsk", "ili-bakanas"}
 	for i := range count {
-		t := &greyTarget{id: fmt.Sprintf("i-ledger-%d", i), ledger: l, record: f.record, grey: trouble() && i == 0}
+		t := &greyTarget{id: fmt.Sprintf("i-ledger-%d", i), ledger: l, record: f.record}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
@@ -79,14 +85,24 @@
 		go s.Serve(listener)
 		defer s.Close()
 		f.register(t.id, "ledger", listener.Addr().String(), datacentres[i%len(datacentres)], "ready", 1, time.Now().Add(-time.Hour))
-		if t.grey {
-			f.record.add("%s fails %.2f of its requests", t.id, greyFailures)
+		if i == 0 {
+			failing = t
 		}
 	}
 	f.configure(3, []string{"ledger"}, route("order", "non_idempotent", "ledger"))
 	if err := f.startAll(); err != nil {
 		return nil, err
 	}
+	if trouble() {
+		time.AfterFunc(5*time.Second, func() {
+			failing.grey.Store(true)
+			f.record.add("%s begins to fail %.2f of its requests", failing.id, greyFailures)
+		})
+		time.AfterFunc(5*time.Second+greyTime, func() {
+			failing.grey.Store(false)
+			f.record.add("%s fails no more", failing.id)
+		})
+	}
 	type attempt struct {
 		id     string
 		status int
