follow: cached views are sent at their own revision

Cause: a coordinator caches the packed operator data by a hash of their content, but the packed value also holds the store's revision. The second evacuation has the content of the first, so it was sent with the first one's revision. A host that had read the end of the first evacuation from the store itself dropped it as older, went on counting its views as current, and asked again without pause. All targets are cached the same way.

Fix: the key of the cache holds the revision, so a packed value can't be sent for another state of the store than its own. The form on the wire is unchanged; hosts of earlier builds get the right revision too.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -309,7 +309,7 @@
 	s.OperatorAge, s.TargetsAge = f.Ages()
 	knownOperator := epoch.Revision{Epoch: known.OperatorEpoch, Number: known.OperatorRevision}
 	if o := f.operator.Load(); o.Config != nil && o.Hash() != known.Operator && !o.At().Before(knownOperator) {
-		packed, err := f.operatorCache.get(o.Epoch, o.Hash(), o)
+		packed, err := f.operatorCache.get(o.At(), o.Hash(), o)
 		if err != nil {
 			f.log.Error("cannot encode configuration for other hosts", zap.Error(err))
 		}
@@ -337,7 +337,7 @@
 		// The times for which entries have been missing change.
 		packed, err = pack(p)
 	} else {
-		packed, err = f.targetsCache.get(v.Epoch, v.Hash, p)
+		packed, err = f.targetsCache.get(v.At(), v.Hash, p)
 	}
 	if err != nil {
 		f.log.Error("cannot encode targets for other hosts", zap.Error(err))
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -672,8 +672,13 @@
 	sourceUp    atomic.Bool
 	sourceReads atomic.Int64
 	members     []coord.Member
+	// spins counts the reads that followed maxReadsAtOnce others without any time between them.
+	spins atomic.Int64
 }
 
+// maxReadsAtOnce is the number of reads of a source at one moment of simulated time from which the next one is delayed, since time would stand still for a host that asks again without pause.
+const maxReadsAtOnce = 20
+
 // withFedHost runs f beside a source and a host that reads its views.
 func withFedHost(t *testing.T, f func(fed *fedHost, source *Follower, s *fakeStore)) {
 	withFollower(t, func(source *Follower, s *fakeStore) {
@@ -685,6 +690,8 @@
 			members:  []coord.Member{{Name: "source"}},
 		}
 		fed.sourceUp.Store(true)
+		var readAt time.Time
+		readsAtOnce := 0
 		members := func() []coord.Member { return fed.members }
 		feed := Feed{
 			Sources: members,
@@ -693,6 +700,14 @@
 					return State{}, errDown
 				}
 				fed.sourceReads.Add(1)
+				readsAtOnce++
+				if now := time.Now(); now.After(readAt) {
+					readAt, readsAtOnce = now, 0
+				}
+				if readsAtOnce > maxReadsAtOnce {
+					fed.spins.Add(1)
+					time.Sleep(100 * time.Millisecond)
+				}
 				return source.AwaitDiff(k, members), nil
 			},
 			Members:    members,
--- a/follow/packed.go
+++ b/follow/packed.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"kingcupcross/epoch"
 	"kingcupcross/roster"
 )
 
@@ -41,24 +42,27 @@
 }
 
 // packCache caches the last packed value, because many hosts ask for the same one.
+//
+// The key includes the revision because the packed value contains it: content that returns at a later revision, such as a second evacuation of a data centre, would otherwise be sent as of the earlier one and dropped by its readers.
 type packCache struct {
-	mu          sync.Mutex
-	epoch, hash uint64
-	packed      Packed
+	mu     sync.Mutex
+	at     epoch.Revision
+	hash   uint64
+	packed Packed
 }
 
-// get returns the packed form of v, which is from an epoch of the store and has a hash.
-func (k *packCache) get(epoch, hash uint64, v any) (Packed, error) {
+// get returns the packed form of v, which shows the state of the store at a revision and whose content has a hash.
+func (k *packCache) get(at epoch.Revision, hash uint64, v any) (Packed, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.packed != nil && k.epoch == epoch && k.hash == hash {
+	if k.packed != nil && k.at == at && k.hash == hash {
 		return k.packed, nil
 	}
 	p, err := pack(v)
 	if err != nil {
 		return nil, err
 	}
-	k.epoch, k.hash, k.packed = epoch, hash, p
+	k.at, k.hash, k.packed = at, hash, p
 	return p, nil
 }
 
