follow: a view counts as current only if all of an answer about it was applied

What callers see, in tests: a host that reads the views of another host goes on sending to an evacuated data centre or a removed target, or with an older version, while it asks its source without pause.

A part of an answer that was dropped (older, can't be decoded, changes from another view) still made the view current. A host that deviates from its source on purpose, or whose source knows no hosts, got an answer at once each time and asked again at once. A source that had just started stated its running time as the age of views that it had never read.

Fix: what couldn't be applied is counted and logged, doesn't make the view current, and the next source or the store is read; an answer that changes nothing is followed by a pause; a view that was never read has an age at which nobody relies on it; an empty list of hosts is no difference.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -1,7 +1,10 @@
 package follow
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -124,20 +127,52 @@
 		}
 		if s.age() >= f.maxFreshAge() || s.Epoch < f.epochs.Current() {
 			f.scope.Counter("feed_stale").Inc(1)
+			if !f.Ready() {
+				// A part of the views is better than none; this host goes on asking.
+				f.noteDropped(m, f.applyState(s, feed))
+			}
+			continue
+		}
+		switch err := f.applyState(s, feed); {
+		case errors.Is(err, errViewChanged):
+			// The next read states the present view.
+			return true
+		case err != nil:
+			f.noteDropped(m, err)
 			continue
 		}
-		f.applyState(s, feed)
 		// Fresh views of another host also count as an answer of the store.
 		f.noteRecovery("views")
 		f.lastAnswer.Store(f.sinceEpoch(f.clock.Now()))
 		if f.fedUntil.Swap(f.sinceEpoch(f.clock.Now().Add(longPollWait+longPollGrace))) == 0 {
 			f.log.Info("using another host's views instead of reading the store", zap.String("from", m.Name))
 		}
+		if s.hasViews() && known.sameViews(f.known(feed.Members())) {
+			// This host deviates from the source on purpose, for instance by holding a configuration back. The source answers at once as long as it does.
+			f.scope.Counter("feed_repeated").Inc(1)
+			f.pause(ctx)
+		}
 		return true
 	}
 	return false
 }
 
+// noteDropped counts and logs views of another host that could not be applied. Changes of another view aren't counted, since the next read replaces them.
+func (f *Follower) noteDropped(from coord.Member, err error) {
+	if err == nil || errors.Is(err, errViewChanged) {
+		return
+	}
+	f.scope.Counter("feed_dropped").Inc(1)
+	f.log.Info("views of another host were dropped", zap.String("from", from.Name), zap.Error(err))
+}
+
+// sameViews reports whether two hosts, or one host at two times, have the same views and know the same hosts.
+func (k *Known) sameViews(other Known) bool {
+	return k.Operator == other.Operator && k.OperatorRevision == other.OperatorRevision && k.OperatorEpoch == other.OperatorEpoch &&
+		k.Targets == other.Targets && k.TargetsRevision == other.TargetsRevision && k.TargetsEpoch == other.TargetsEpoch &&
+		k.Members == other.Members
+}
+
 // RunFallbacks reads the views of other hosts while this host can't read the store, until the context ends.
 //
 // The views of those hosts may be out of date too. They never replace newer ones, and this host keeps trying the store.
@@ -176,7 +211,7 @@
 				f.scope.Counter("spare_reads").Inc(1)
 				f.log.Info("using another host's views while the store can't be reached", zap.String("from", m.Name), zap.Duration("operator_age", s.OperatorAge), zap.Duration("targets_age", s.TargetsAge))
 			}
-			f.applyState(s, feed)
+			f.noteDropped(m, f.applyState(s, feed))
 		})
 	}
 	reads.Wait()
@@ -210,26 +245,19 @@
 	}
 }
 
-// applyState applies another host's answer to the views, the hosts, the leaving targets and the rate limits.
-func (f *Follower) applyState(s State, feed Feed) {
+// errViewChanged is returned for changes of targets that start from another view than the present one.
+var errViewChanged = errors.New("the changes of targets start from another view")
+
+// applyState applies another host's answer to the views, the hosts, the leaving targets and the rate limits. A view counts as current up to the age that the answer states only if all of the answer about it was applied; the error says why something was not.
+func (f *Follower) applyState(s State, feed Feed) error {
 	if !f.epochs.Observe(s.Epoch) {
 		// The host doesn't know yet that the store was restored.
 		f.scope.Counter("feed_earlier_epoch").Inc(1)
-		return
+		return fmt.Errorf("views are from epoch %d of the store, the newest is %d", s.Epoch, f.epochs.Current())
 	}
 	now := f.clock.Now()
-	if s.Operator != nil {
-		if o, err := unpackOperator(s.Operator); err != nil {
-			f.log.Error("cannot decode configuration from another host", zap.Error(err))
-		} else {
-			f.applyOperator(o)
-		}
-	}
-	if p, err := f.targetsFrom(s); err != nil {
-		f.log.Error("cannot decode targets from another host", zap.Error(err))
-	} else if p != nil {
-		f.applyPeerTargets(*p, now)
-	}
+	operatorErr := f.applyPeerOperator(s)
+	targetsErr := f.applyPeerTargets(s, now)
 	if len(s.Members) > 0 {
 		feed.SetMembers(s.Members)
 	}
@@ -239,23 +267,55 @@
 	if len(s.RateLimits) > 0 && feed.AddRateLimits != nil {
 		feed.AddRateLimits(s.RateLimits)
 	}
-	advance(&f.operatorCurrentAt, f.sinceEpoch(now.Add(-s.OperatorAge)))
-	advance(&f.targetsCurrentAt, f.sinceEpoch(now.Add(-s.TargetsAge)))
+	if operatorErr == nil {
+		advance(&f.operatorCurrentAt, f.sinceEpoch(now.Add(-s.OperatorAge)))
+	}
+	if targetsErr == nil {
+		advance(&f.targetsCurrentAt, f.sinceEpoch(now.Add(-s.TargetsAge)))
+	}
+	return cmp.Or(operatorErr, targetsErr)
 }
 
-// targetsFrom returns the targets in another host's answer, nil where it holds none that apply to the view.
-func (f *Follower) targetsFrom(s State) (*roster.Listing, error) {
+// applyPeerOperator applies the operator data in another host's answer, if there are any. It fails if they can't be decoded, or differ from the present ones and are older.
+func (f *Follower) applyPeerOperator(s State) error {
+	if s.Operator == nil {
+		return nil
+	}
+	o, err := unpackOperator(s.Operator)
+	if err != nil {
+		f.log.Error("cannot decode configuration from another host", zap.Error(err))
+		return fmt.Errorf("configuration can't be decoded: %w", err)
+	}
+	if present := f.operator.Load(); !f.applyOperator(o) && o.Hash() != present.Hash() {
+		return fmt.Errorf("operator data are from revision %s, those in force from %s", o.At(), present.At())
+	}
+	return nil
+}
+
+// applyPeerTargets applies the targets in another host's answer, if there are any. It fails if they can't be decoded, differ from the present ones and are older, or are changes of another view. The end of the last outage doesn't matter: that host has already kept the targets that may come back.
+func (f *Follower) applyPeerTargets(s State, now time.Time) error {
+	var p roster.Listing
+	view := f.View()
 	switch {
 	case s.Targets != nil:
-		var p roster.Listing
-		return &p, s.Targets.unpack(&p)
+		if err := s.Targets.unpack(&p); err != nil {
+			f.log.Error("cannot decode targets from another host", zap.Error(err))
+			return fmt.Errorf("targets can't be decoded: %w", err)
+		}
 	case s.Changes != nil:
-		// If the view has changed since the read, the next read brings what is missing.
-		if p, applies := f.View().Apply(*s.Changes); applies {
-			return &p, nil
+		changed, applies := view.Apply(*s.Changes)
+		if !applies {
+			return errViewChanged
 		}
+		p = changed
+	default:
+		return nil
+	}
+	applied := f.replaceView(now, func(old *roster.View) *roster.View { return old.Merge(p, now, time.Time{}) })
+	if !applied {
+		return fmt.Errorf("targets are from revision %s, those known from %s", p.At(), view.At())
 	}
-	return nil, nil
+	return nil
 }
 
 // unpackOperator decodes operator data and rebuilds the index of the configuration, which isn't sent.
@@ -285,7 +345,11 @@
 	for {
 		operatorChanged, viewChanged := f.operator.Changed(), f.view.Changed()
 		s, differs := f.diff(known, members())
-		remaining := min(end.Sub(f.clock.Now()), f.maxFreshAge()-s.age())
+		remaining := end.Sub(f.clock.Now())
+		if f.Ready() {
+			// A host that has just started is about to read its views.
+			remaining = min(remaining, f.maxFreshAge()-s.age())
+		}
 		if differs || remaining <= 0 {
 			return s
 		}
@@ -297,31 +361,51 @@
 	}
 }
 
-// Ages returns the times since the operator data and the targets were last known to include all changes.
+// unknownAge is stated as the age of a view that has never been read: above all ages at which views are used.
+const unknownAge = 24 * time.Hour
+
+// Ages returns the times since the operator data and the targets were last known to include all changes, unknownAge before the first reading.
 func (f *Follower) Ages() (operator, targets time.Duration) {
 	now := f.sinceEpoch(f.clock.Now())
-	return time.Duration(now - f.operatorCurrentAt.Load()), time.Duration(now - f.targetsCurrentAt.Load())
+	operator, targets = unknownAge, unknownAge
+	if f.Config() != nil {
+		operator = time.Duration(now - f.operatorCurrentAt.Load())
+	}
+	if !f.View().ReadAt.IsZero() {
+		targets = time.Duration(now - f.targetsCurrentAt.Load())
+	}
+	return operator, targets
 }
 
-// diff returns the parts that differ from what another host knows, and whether there are any.
+// diff returns the parts that differ from what another host knows, and whether there are any. The age of a part that differs and can't be encoded is unknownAge.
 func (f *Follower) diff(known Known, members []coord.Member) (State, bool) {
 	s := State{Epoch: f.epochs.Current()}
 	s.OperatorAge, s.TargetsAge = f.Ages()
-	knownOperator := epoch.Revision{Epoch: known.OperatorEpoch, Number: known.OperatorRevision}
-	if o := f.operator.Load(); o.Config != nil && o.Hash() != known.Operator && !o.At().Before(knownOperator) {
+	if o := f.operator.Load(); o.Config != nil && differs(o.Hash(), o.At(), known.Operator, epoch.Revision{Epoch: known.OperatorEpoch, Number: known.OperatorRevision}) {
 		packed, err := f.operatorCache.get(o.At(), o.Hash(), o)
 		if err != nil {
 			f.log.Error("cannot encode configuration for other hosts", zap.Error(err))
+			s.OperatorAge = unknownAge
 		}
 		s.Operator = packed
 	}
-	if v := f.View(); !v.ReadAt.IsZero() && v.Hash != known.Targets && !v.At().Before(epoch.Revision{Epoch: known.TargetsEpoch, Number: known.TargetsRevision}) {
+	if v := f.View(); !v.ReadAt.IsZero() && differs(v.Hash, v.At(), known.Targets, epoch.Revision{Epoch: known.TargetsEpoch, Number: known.TargetsRevision}) {
 		f.addTargets(&s, v, known.Targets)
 	}
-	if coord.MembersHash(members) != known.Members {
+	if len(members) > 0 && coord.MembersHash(members) != known.Members {
 		s.Members = members
 	}
-	return s, s.Operator != nil || s.Targets != nil || s.Changes != nil || s.Members != nil
+	return s, s.hasViews()
+}
+
+// differs reports whether a reading host needs a view with a hash at a revision, given those of its own view.
+func differs(hash uint64, at epoch.Revision, known uint64, knownAt epoch.Revision) bool {
+	return hash != known && !at.Before(knownAt)
+}
+
+// hasViews reports whether the answer holds a view or hosts, for which the reading host needn't wait.
+func (s *State) hasViews() bool {
+	return s.Operator != nil || s.Targets != nil || s.Changes != nil || s.Members != nil
 }
 
 // addTargets adds the changes from the view with the hash known to the present one, or all targets if that view is no longer in the history or targets are kept whose entries are missing, which changes don't show.
@@ -341,6 +425,7 @@
 	}
 	if err != nil {
 		f.log.Error("cannot encode targets for other hosts", zap.Error(err))
+		s.TargetsAge = unknownAge
 	}
 	s.Targets = packed
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -235,13 +235,13 @@
 	}
 }
 
-// applyOperator puts operator data into force unless they are older than the present ones; the configuration never goes back to an earlier version.
-func (f *Follower) applyOperator(o route.OperatorState) {
+// applyOperator puts operator data into force unless they are older than the present ones, and reports whether it did; the configuration never goes back to an earlier version.
+func (f *Follower) applyOperator(o route.OperatorState) bool {
 	if o.Unreadable != "" {
 		f.scope.Counter("unreadable_configs").Inc(1)
 		f.log.Error("cannot decode configuration, keeping the current one", zap.String("cause", o.Unreadable), zap.Uint64("revision", o.Revision))
 	}
-	f.operator.Update(func(old *route.OperatorState) *route.OperatorState {
+	return f.operator.Update(func(old *route.OperatorState) *route.OperatorState {
 		if o.At().Before(old.At()) {
 			return nil
 		}
@@ -390,19 +390,14 @@
 	f.replaceView(now, func(old *roster.View) *roster.View { return old.Merge(p, now, f.outageEndTime()) })
 }
 
-// applyPeerTargets replaces the view by another host's targets, unless they are older. The outage time is left out because that host has already kept the targets that may come back.
-func (f *Follower) applyPeerTargets(p roster.Listing, now time.Time) {
-	f.replaceView(now, func(old *roster.View) *roster.View { return old.Merge(p, now, time.Time{}) })
-}
-
 // applyUpdate applies changes to the view, unless the view is newer.
 func (f *Follower) applyUpdate(u roster.Update, now time.Time) {
 	f.replaceView(now, func(old *roster.View) *roster.View { return old.Update(u, now, f.outageEndTime()) })
 }
 
-// replaceView replaces the view by the one that change returns; nil means that the reading was older than the view.
-func (f *Follower) replaceView(now time.Time, change func(*roster.View) *roster.View) {
-	f.view.Update(func(old *roster.View) *roster.View {
+// replaceView replaces the view by the one that change returns and reports whether it did; nil means that the reading was older than the view.
+func (f *Follower) replaceView(now time.Time, change func(*roster.View) *roster.View) bool {
+	replaced := f.view.Update(func(old *roster.View) *roster.View {
 		next := change(old)
 		if next == nil {
 			f.scope.Counter("older_readings").Inc(1)
@@ -416,6 +411,7 @@
 	})
 	f.logLag(now)
 	f.releaseHeld()
+	return replaced
 }
 
 // logLag logs once when the targets have been behind the store for lagLogThreshold, and again when they have caught up.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -672,13 +672,39 @@
 	sourceUp    atomic.Bool
 	sourceReads atomic.Int64
 	members     []coord.Member
+	// sourceAlone makes the source know no hosts.
+	sourceAlone atomic.Bool
+	// alter changes the answers of the source; nil leaves them as they are.
+	alter atomic.Pointer[func(State) State]
 	// spins counts the reads that followed maxReadsAtOnce others without any time between them.
 	spins atomic.Int64
 }
 
-// maxReadsAtOnce is the number of reads of a source at one moment of simulated time from which the next one is delayed, since time would stand still for a host that asks again without pause.
+// maxReadsAtOnce is the number of reads of a source at one moment of simulated time from which the next one is delayed.
 const maxReadsAtOnce = 20
 
+// spinGuard delays reads of one host that follow each other without any time between them. Without it, simulated time would stand still for a host that asks again without pause.
+type spinGuard struct {
+	mu    sync.Mutex
+	at    time.Time
+	reads int
+}
+
+// delay counts a read and reports whether it had to be delayed.
+func (g *spinGuard) delay() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reads++
+	if now := time.Now(); now.After(g.at) {
+		g.at, g.reads = now, 0
+	}
+	if g.reads <= maxReadsAtOnce {
+		return false
+	}
+	time.Sleep(100 * time.Millisecond)
+	return true
+}
+
 // withFedHost runs f beside a source and a host that reads its views.
 func withFedHost(t *testing.T, f func(fed *fedHost, source *Follower, s *fakeStore)) {
 	withFollower(t, func(source *Follower, s *fakeStore) {
@@ -690,8 +716,7 @@
 			members:  []coord.Member{{Name: "source"}},
 		}
 		fed.sourceUp.Store(true)
-		var readAt time.Time
-		readsAtOnce := 0
+		var guard spinGuard
 		members := func() []coord.Member { return fed.members }
 		feed := Feed{
 			Sources: members,
@@ -700,15 +725,19 @@
 					return State{}, errDown
 				}
 				fed.sourceReads.Add(1)
-				readsAtOnce++
-				if now := time.Now(); now.After(readAt) {
-					readAt, readsAtOnce = now, 0
-				}
-				if readsAtOnce > maxReadsAtOnce {
+				if guard.delay() {
 					fed.spins.Add(1)
-					time.Sleep(100 * time.Millisecond)
 				}
-				return source.AwaitDiff(k, members), nil
+				answer := source.AwaitDiff(k, func() []coord.Member {
+					if fed.sourceAlone.Load() {
+						return []coord.Member{}
+					}
+					return fed.members
+				})
+				if alter := fed.alter.Load(); alter != nil {
+					answer = (*alter)(answer)
+				}
+				return answer, nil
 			},
 			Members:    members,
 			SetMembers: func(all []coord.Member) { fed.members = all },
