follow: views of two epochs differ even if their hashes are equal

A store that is restored gives out revisions again. The hash of a view is made of ids and revisions, so the targets of the restored store can have the hash of those before. A host that read its views from another one kept the earlier ones then, and went on sending to a target that drains in the later epoch.

Fix: a reading host gets a view of a later epoch whatever its hash is. TestEpochsWithEqualRevisionsAreTold fails on the code before: the drained target stays in use.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -398,9 +398,9 @@
 	return s, s.hasViews()
 }
 
-// differs reports whether a reading host needs a view with a hash at a revision, given those of its own view.
+// differs reports whether a reading host needs a view with a hash at a revision, given those of its own view. Hashes are made from revisions of the store's entries, which mean the same within one epoch only.
 func differs(hash uint64, at epoch.Revision, known uint64, knownAt epoch.Revision) bool {
-	return hash != known && !at.Before(knownAt)
+	return (hash != known || at.Epoch != knownAt.Epoch) && !at.Before(knownAt)
 }
 
 // hasViews reports whether the answer holds a view or hosts, for which the reading host needn't wait.
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/coord"
+	"kingcupcross/epoch"
 	"kingcupcross/roster"
 	"kingcupcross/route"
 	"kingcupcross/timer"
@@ -252,3 +254,36 @@
 		}
 	})
 }
+
+// TestEpochsWithEqualRevisionsAreTold guards against a host that keeps the targets of an earlier epoch of the store because those of the restored one have the same ids and revisions.
+func TestEpochsWithEqualRevisionsAreTold(t *testing.T) {
+	withFollower(t, func(source *Follower, s *fakeStore) {
+		time.Sleep(time.Second)
+		members := func() []coord.Member { return nil }
+		fed := New(timer.New(), s.client(), propagationLimit, outageThreshold, zap.NewNop(), tally.NoopScope)
+		feed := Feed{SetMembers: func([]coord.Member) {}}
+		require.NoError(t, fed.applyState(source.AwaitDiff(fed.known(nil), members), feed))
+		o := source.operator.Load()
+		require.True(t, source.epochs.Observe(2))
+		drained := roster.Listing{
+			Revision: source.View().Revision,
+			Epoch:    2,
+			Targets: []roster.Target{{
+				ID:       "a",
+				Service:  "s",
+				Revision: 1,
+				Draining: true,
+			}},
+		}
+		source.applyTargets(drained, time.Now())
+		require.True(t, source.applyOperator(route.OperatorState{
+			Config:   o.Config,
+			Out:      maps.Clone(o.Out),
+			Revision: o.Revision,
+			Epoch:    2,
+		}))
+		require.NoError(t, fed.applyState(source.AwaitDiff(fed.known(nil), members), feed))
+		require.Empty(t, fed.View().Services["s"])
+		require.Equal(t, epoch.Revision{Epoch: 2, Number: o.Revision}, fed.operator.Load().At())
+	})
+}
