follow, roster: a target that leaves again under its id is told to reading hosts

A reading host names the targets of which it knows that they leave, by id. A target that has started again under its id and announces a second time that it leaves was taken for known, so the host went on sending to it until the store showed its entry as draining.

Fix: processes are named, by id and start. The field with the ids stays for hosts of earlier builds. TestTargetThatLeavesAgainIsToldToReaders fails on the code before.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -37,8 +37,10 @@
 	Members                    uint64
 	// OperatorEpoch and TargetsEpoch are the store's epochs of the revisions.
 	OperatorEpoch, TargetsEpoch uint64
-	// Leavers are the targets that the host knows to have announced that they are leaving.
+	// Leavers are the targets that the host knows to have announced that they are leaving, for hosts of earlier builds, which look at ids only.
 	Leavers []string
+	// LeavingProcesses identifies the processes of these targets: one that starts again under its id announces anew. It is nil in the calls of hosts of earlier builds.
+	LeavingProcesses []roster.Process
 	// RateLimits is the hash of the targets' rate limits that the host knows.
 	RateLimits uint64
 }
@@ -223,6 +225,7 @@
 	if feed.Leavers != nil {
 		for _, l := range feed.Leavers() {
 			k.Leavers = append(k.Leavers, l.ID)
+			k.LeavingProcesses = append(k.LeavingProcesses, l.Process())
 		}
 	}
 	if feed.RateLimits != nil {
@@ -430,6 +433,14 @@
 	s.Targets = packed
 }
 
+// hasLeaver reports whether the reading host knows that a process of a target is leaving.
+func (k *Known) hasLeaver(l roster.Leaver) bool {
+	if k.LeavingProcesses == nil {
+		return slices.Contains(k.Leavers, l.ID)
+	}
+	return slices.ContainsFunc(k.LeavingProcesses, l.Process().Equal)
+}
+
 // Service serves the calls of other hosts.
 type Service struct {
 	follower   *Follower
@@ -452,7 +463,7 @@
 func (s *Service) Read(known Known, reply *State) error {
 	*reply = s.follower.AwaitDiff(known, s.members)
 	for _, l := range s.leavers() {
-		if !slices.Contains(known.Leavers, l.ID) {
+		if !known.hasLeaver(l) {
 			reply.Leavers = append(reply.Leavers, l)
 		}
 	}
