roster, platform, follow: the values of targets' entries are checked

What others reported: one odd entry among those of the targets ended the hosts that read it, again and again, or they stopped following the list.

Here: hosts neither ended nor stopped, but took some odd entries for targets (a cold start of 292 years, more slots than a number holds, addresses such as 0.0.0.0:80, ids that can't stand in a header), one value that isn't base64 cost its whole page, and an entry was counted at each reading and never logged.

Cause: entries were checked for missing fields, not for their values, and a number that doesn't fit a duration was converted with a result that depends on the processor.

--- a/coord/member.go
+++ b/coord/member.go
@@ -24,7 +24,10 @@
 	Cores float64 `json:"cores"`
 }
 
-// UnmarshalJSON decodes a member and checks that it has a name, a location and valid addresses.
+// maxCores is above the number of cores of any machine. Hosts with most cores become coordinators.
+const maxCores = 1 << 12
+
+// UnmarshalJSON decodes a member and checks that it has a name, a location, valid addresses and a possible number of cores.
 func (m *Member) UnmarshalJSON(b []byte) error {
 	type plain Member
 	var p plain
@@ -36,6 +39,8 @@
 		return errors.New("member must have a name, a data centre and a region")
 	case !p.Requests.IsValid() || !p.Views.IsValid():
 		return fmt.Errorf("member %s has no valid address", p.Name)
+	case p.Cores < 0 || p.Cores > maxCores:
+		return fmt.Errorf("member %s has %g cores, not 0 to %d", p.Name, p.Cores, maxCores)
 	}
 	*m = Member(p)
 	return nil
--- a/follow/dropped_test.go
+++ b/follow/dropped_test.go
@@ -1,6 +1,9 @@
 package follow
 
 import (
+	"math"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,11 +68,11 @@
 			withFedHost(t, func(fed *fedHost, _ *Follower, s *fakeStore) {
 				time.Sleep(3 * time.Second)
 				fed.setTargets(s, 5, roster.Target{ID: "a", Service: "s", Revision: 1}, roster.Target{ID: "b", Service: "s", Revision: 5})
-				fed.setOut(t, s, "z")
+				fed.setOut(s, "z")
 				time.Sleep(3 * time.Second)
 				altered := func(s State) State { return alter(t, s) }
 				fed.alter.Store(&altered)
-				fed.setOut(t, s)
+				fed.setOut(s)
 				fed.setTargets(s, 30, roster.Target{ID: "b", Service: "s", Revision: 5})
 				fed.requireOut(t, "the end of the evacuation")
 				time.Sleep(evacuationLimit)
@@ -155,7 +158,34 @@
 			return empty.AwaitDiff(fed.known(fed.members), members)
 		}
 		fed.alter.Store(&replaced)
-		fed.setOut(t, s, "z")
+		fed.setOut(s, "z")
 		fed.requireOut(t, "evacuation while the source knows nothing", "z")
 	})
 }
+
+// TestOddTargetsOfAnotherHostAreLeftOut guards against odd entries that a host of an earlier build passes on, whole or as changes: they are left out, counted once, and the other targets hold.
+func TestOddTargetsOfAnotherHostAreLeftOut(t *testing.T) {
+	withFedHost(t, func(fed *fedHost, _ *Follower, s *fakeStore) {
+		time.Sleep(3 * time.Second)
+		good := roster.Target{ID: "a", Service: "s", Revision: 1}
+		odd := []roster.Target{
+			{ID: "cold", Service: "s", Revision: 5, Cold: math.MaxInt64},
+			{ID: "slots", Service: "s", Revision: 5, Slots: math.MaxInt64},
+			{ID: "born", Service: "s", Revision: 5, Born: time.Unix(1<<50, 0)},
+			{ID: "a b", Service: "s", Revision: 5},
+			{ID: "long", Service: strings.Repeat("s", 1<<20), Revision: 5},
+			{ID: "address", Service: "s", Revision: 5, Address: netip.MustParseAddrPort("0.0.0.0:80")},
+		}
+		s.modify(func() { s.listing = roster.Listing{Revision: 5, Targets: append(odd, good)} })
+		time.Sleep(10 * time.Second)
+		require.Len(t, fed.View().Entries, 1)
+		require.Zero(t, fed.spins.Load(), "reads without pause")
+		fed.unreadable.mu.Lock()
+		require.Len(t, fed.unreadable.revisions, len(odd), "reported")
+		fed.unreadable.mu.Unlock()
+		good.Draining, good.Revision = true, 9
+		s.modify(func() { s.listing = roster.Listing{Revision: 9, Targets: append(odd, good)} })
+		time.Sleep(3 * time.Second)
+		require.Empty(t, fed.View().Services["s"])
+	})
+}
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -314,6 +314,14 @@
 	default:
 		return nil
 	}
+	p.Targets = slices.DeleteFunc(p.Targets, func(t roster.Target) bool {
+		err := t.Validate()
+		if err != nil {
+			// A host of an earlier build checks less of what it reads from the store.
+			f.NoteUnreadable(&roster.EntryError{Key: t.ID, Revision: t.Revision, Err: err})
+		}
+		return err != nil
+	})
 	applied := f.replaceView(now, func(old *roster.View) *roster.View { return old.Merge(p, now, time.Time{}) })
 	if !applied {
 		return fmt.Errorf("targets are from revision %s, those known from %s", p.At(), view.At())
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -91,6 +92,8 @@
 	operatorAnswerDue atomic.Int64
 	// fedUntil is the time until which views of another host replace reading the store.
 	fedUntil atomic.Int64
+	// unreadable remembers the entries that have been reported as unusable.
+	unreadable unreadableEntries
 	// revisionLag tracks whether the targets include every revision that the store is known to have.
 	revisionLag revisionLag
 	// operatorCache, targetsCache and viewHistory hold what is needed to answer the reads of other hosts.
@@ -454,10 +457,38 @@
 	}
 }
 
-// NoteUnreadable counts and logs an entry of a target that can't be decoded.
+// NoteUnreadable counts and logs an entry that can't be used. If err is a roster.EntryError, it does so once for each revision of the entry.
 func (f *Follower) NoteUnreadable(err error) {
+	var entry *roster.EntryError
+	if errors.As(err, &entry) && !f.unreadable.add(entry.Key, entry.Revision) {
+		return
+	}
 	f.scope.Counter("unreadable_entries").Inc(1)
-	f.log.Debug("cannot decode target entry", zap.Error(err))
+	f.log.Warn("entry can't be used", zap.Error(err))
+}
+
+// maxUnreadable is the number of entries that are remembered as unusable; beyond it, all are forgotten.
+const maxUnreadable = 1024
+
+// unreadableEntries remembers the entries that have been reported as unusable.
+type unreadableEntries struct {
+	mu sync.Mutex
+	// revisions holds the revision that was reported, by key.
+	revisions map[string]uint64
+}
+
+// add remembers a revision of an entry and reports whether it is another one than before.
+func (u *unreadableEntries) add(key string, revision uint64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if reported, found := u.revisions[key]; found && reported == revision {
+		return false
+	}
+	if u.revisions == nil || len(u.revisions) >= maxUnreadable {
+		u.revisions = map[string]uint64{}
+	}
+	u.revisions[key] = revision
+	return true
 }
 
 // pause waits for retryPeriod or until the context ends.
--- a/follow/repeat_test.go
+++ b/follow/repeat_test.go
@@ -20,7 +20,7 @@
 )
 
 // setOut writes the data centres out of service to the store of the source and to that of the fed host.
-func (h *fedHost) setOut(t *testing.T, s *fakeStore, out ...string) {
+func (h *fedHost) setOut(s *fakeStore, out ...string) {
 	set := map[string]bool{}
 	for _, d := range out {
 		set[d] = true
@@ -72,7 +72,7 @@
 					time.Sleep(3 * time.Second)
 					for i, out := range tt.steps {
 						change := func() {
-							fed.setOut(t, s, out...)
+							fed.setOut(s, out...)
 							fed.requireOut(t, tt.name, out...)
 						}
 						if (alone == "even steps" && i%2 == 0) || (alone == "odd steps" && i%2 == 1) {
--- a/mock/store.go
+++ b/mock/store.go
@@ -141,9 +141,14 @@
 	if err != nil {
 		panic(err)
 	}
+	s.PutBytes(key, encoded)
+}
+
+// PutBytes writes a key with a value that needn't be JSON.
+func (s *Store) PutBytes(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(row{Key: key, Value: encoded})
+	s.write(row{Key: key, Value: value})
 }
 
 // Delete removes a key.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -31,6 +31,72 @@
 	Revision uint64
 }
 
+const (
+	// maxNameBytes limits the id, service and data centre of a target; the platform's keys have at most 200 bytes.
+	maxNameBytes = 200
+	// maxSlots is far above the number of requests that one process can work on at once.
+	maxSlots = 1 << 16
+	// maxCold is far above the time of a cold start.
+	maxCold = time.Hour
+	// maxBornSeconds is the end of the year 9999 as a Unix time, after which a time has no standard text form.
+	maxBornSeconds = 253402300799
+)
+
+// Validate reports the first field whose value no target can have: the entry was written by another program, or is damaged. Missing fields are not reported.
+func (t *Target) Validate() error {
+	address := t.Address.Addr()
+	switch {
+	case !isHeaderValue(t.ID):
+		return fmt.Errorf("id %.40q is not a name", t.ID)
+	case len(t.Service) > maxNameBytes:
+		return fmt.Errorf("service %.40q has %d bytes, at most %d are used", t.Service, len(t.Service), maxNameBytes)
+	case len(t.Datacentre) > maxNameBytes:
+		return fmt.Errorf("data centre %.40q has %d bytes, at most %d are used", t.Datacentre, len(t.Datacentre), maxNameBytes)
+	case address.IsUnspecified() || address.IsMulticast() || address.Zone() != "" || address == broadcast:
+		return fmt.Errorf("address %.60q is not that of one target", t.Address)
+	case t.Slots > maxSlots:
+		return fmt.Errorf("number of slots %d is above %d", t.Slots, maxSlots)
+	case t.Cold > maxCold:
+		return fmt.Errorf("time %s left of the cold start is above %s", t.Cold, maxCold)
+	case t.Born.Unix() > maxBornSeconds:
+		return fmt.Errorf("start time %d s is after the year 9999", t.Born.Unix())
+	}
+	return nil
+}
+
+// broadcast is the address of all hosts of a network.
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// isHeaderValue reports whether a name has 1 to maxNameBytes bytes, all of them visible ASCII characters, so that it can stand in a header.
+func isHeaderValue(name string) bool {
+	for i := range len(name) {
+		if name[i] <= ' ' || name[i] > '~' {
+			return false
+		}
+	}
+	return name != "" && len(name) <= maxNameBytes
+}
+
+// EntryError reports an entry that can't be used.
+type EntryError struct {
+	// Key names the entry, Revision is the store's revision at which it was written.
+	Key      string
+	Revision uint64
+	Err      error
+}
+
+// maxCauseBytes limits the text of a cause, which may quote the entry.
+const maxCauseBytes = 160
+
+// Error returns the key, the revision and the start of the cause.
+func (e *EntryError) Error() string {
+	cause := e.Err.Error()
+	return fmt.Sprintf("entry %.60q at revision %d: %s", e.Key, e.Revision, cause[:min(len(cause), maxCauseBytes)])
+}
+
+// Unwrap returns the cause.
+func (e *EntryError) Unwrap() error { return e.Err }
+
 // Listing is a complete listing of the targets in the store.
 type Listing struct {
 	Targets []Target
