front, platform, coord: a stopping host begins only what it can finish

What callers saw, in tests with real processes: a request that comes 20 ms after SIGTERM with 20 s of time is passed on and cut off at the end of the grace without an answer, although it may not be repeated. One that another host passes on as the stopping host closes its listener gets a 502.

Cause: nothing compared the time that a request may take with the rest of the grace. net/http keeps connections that have carried no request for five seconds after the listener closes, so requests came up to the end. The listener for other hosts closed at the end of the notice, with connections open and being opened.

Fix: from the signal on, what may take longer than up to 0.1 s before the end is refused before anything is sent; then the contexts of requests in flight end, and they get a 504 that promises nothing. Requests of other hosts are declined for at least a second before their listener closes, so that the other host answers them itself, within the time left. The host's entry in the store is removed at the signal.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -217,7 +217,7 @@
 	return c.AnswerLocally(ctx, r)
 }
 
-// forward sends a request to the best coordinator. It returns nil where this host is to answer the request itself.
+// forward sends a request to the best coordinator. It returns nil where this host is to answer the request itself, within what is left of r.TimeLeft.
 func (c *Coord) forward(ctx context.Context, r *relay.Request, others []Member, sparse bool, now time.Time) *relay.Answer {
 	to, found := c.bestCoordinator(r, others, now)
 	if !found {
@@ -236,6 +236,7 @@
 		k.End(f, c.clock.Now(), rank.Unreachable)
 		c.scope.Counter("aside").Inc(1)
 		c.log.Info("coordinator declined the request", zap.String("request", r.ID), zap.String("coordinator", to.Name), zap.Uint64("least", forwarded.MinVersion))
+		r.TimeLeft = max(timeout-c.clock.Since(now), time.Millisecond)
 		return nil
 	case err == nil:
 		k.End(f, c.clock.Now(), rank.Answered)
--- a/front/front.go
+++ b/front/front.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"reflect"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -66,8 +65,12 @@
 	pool         *pool.Pool
 	// storeRestored receives a value after the store was restored from an older copy. It holds at most one value.
 	storeRestored chan struct{}
+	// finisher ends the requests of a host that stops in time.
+	finisher *finisher
 	// leaving is set from the signal to stop on.
 	leaving atomic.Bool
+	// stopSignalled is closed at the signal to stop.
+	stopSignalled chan struct{}
 	// cutOff is set while the host is cut off from other hosts and can't serve.
 	cutOff atomic.Bool
 }
@@ -93,6 +96,7 @@
 		dialer:       wire.NewDialer(),
 
 		storeRestored: make(chan struct{}, 1),
+		stopSignalled: make(chan struct{}),
 	}
 	f.follow = follow.New(clock, follow.Store{
 		Operator:      store.Operator,
@@ -100,6 +104,7 @@
 		Targets:       store.Targets,
 		AwaitTargets:  store.AwaitTargets,
 	}, c.ChangeDeadline(), c.OutageUntilExpiry(), l.For("follow"), m.Scope.SubScope("follow"))
+	f.finisher = newFinisher(clock, f.follow.Config)
 	f.follow.UseEpochs(store.Epochs)
 	store.Epochs.Subscribe(f.signalRestore)
 	store.OnUnreadableEntry = f.follow.NoteUnreadable
@@ -219,10 +224,15 @@
 }
 
 // newIngress returns a server for requests of callers, or for those that other hosts forward if forwarded is set.
-func (f *Front) newIngress(handle func(context.Context, *relay.Request) *relay.Answer, forwarded bool) *http.Server {
+func (f *Front) newIngress(handle handleFunc, forwarded bool) *http.Server {
+	wrap := f.finisher.wrap
+	if forwarded {
+		wrap = f.finisher.wrapForwarded
+	}
 	return &http.Server{
+		BaseContext: func(net.Listener) context.Context { return f.finisher.requests },
 		Handler: &platform.Ingress{
-			Handle:           handle,
+			Handle:           wrap(handle),
 			Clock:            f.clock,
 			MaxBody:          f.maxBody,
 			CloseConnections: f.divertsCallers,
@@ -336,8 +346,8 @@
 	f.meter.Scope.SubScope("relay").Gauge("limits_share").Update(f.coord.LimitShare())
 }
 
-// addGracefulStop adds the graceful stop at a signal to the group: the host first fails the balancer's health check while it goes on serving, then closes idle connections and waits for the requests in flight.
-func (f *Front) addGracefulStop(group *run.Group, servers ...*http.Server) {
+// addGracefulStop adds the graceful stop at a signal to the group: the host first fails the balancer's health check while it goes on serving, then closes idle connections and waits for the requests in flight. Requests that may take longer than the grace are refused all the while.
+func (f *Front) addGracefulStop(group *run.Group, callers, hosts *http.Server) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -348,6 +358,8 @@
 		}
 		began := f.clock.Now()
 		f.leaving.Store(true)
+		close(f.stopSignalled)
+		f.finisher.begin(began.Add(f.conf.Grace.D() - stopMargin))
 		notice := min(leaveNotice, time.Duration(maxNoticeFraction*float64(f.conf.Grace.D())))
 		f.log.Info("host is leaving", zap.Duration("notice", notice))
 		if f.clock.Sleep(ctx, notice) != nil {
@@ -356,22 +368,28 @@
 		remaining := f.conf.Grace.D() - stopMargin - f.clock.Since(began)
 		finishCtx, cancelFinish := f.clock.WithTimeout(ctx, remaining)
 		defer cancelFinish()
-		f.shutdown(finishCtx, servers)
+		f.shutdown(finishCtx, callers, hosts)
 		return nil
 	}, func(error) { cancel() })
 }
 
-// shutdown stops the servers once their requests in flight are finished or ctx ends.
-func (f *Front) shutdown(ctx context.Context, servers []*http.Server) {
-	var shutdowns sync.WaitGroup
-	for _, s := range servers {
-		shutdowns.Go(func() {
-			if err := s.Shutdown(ctx); err != nil {
-				f.log.Warn("requests were aborted because the grace has ended", zap.Error(err))
-			}
-		})
+// shutdown stops the servers for callers and hosts once their requests in flight are finished or ctx ends. The server for hosts stops last, after it has declined requests for declineTime.
+func (f *Front) shutdown(ctx context.Context, callers, hosts *http.Server) {
+	f.finisher.declines.Store(true)
+	declined := f.clock.After(declineTime)
+	f.shutdownServer(ctx, callers)
+	select {
+	case <-declined:
+	case <-ctx.Done():
+	}
+	f.shutdownServer(ctx, hosts)
+}
+
+// shutdownServer stops a server once its requests in flight are finished or ctx ends.
+func (f *Front) shutdownServer(ctx context.Context, s *http.Server) {
+	if err := s.Shutdown(ctx); err != nil {
+		f.log.Warn("requests were aborted because the grace has ended", zap.Error(err))
 	}
-	shutdowns.Wait()
 }
 
 // checkSettings reads the settings file again and logs whether it has changed; addresses and limits take effect only at the next start.
--- a/front/members.go
+++ b/front/members.go
@@ -114,6 +114,7 @@
 		// The list is needed at once, because it holds the hosts whose views this host can read.
 		f.readMembers(ctx)
 	}
+	stopSignalled := f.stopSignalled
 	for first := f.conf.First; ; first = false {
 		lease, renewed = f.renewEntry(ctx, lease, renewed)
 		wait := membersPeriod
@@ -126,6 +127,9 @@
 		}
 		select {
 		case <-f.clock.After(wait):
+		case <-stopSignalled:
+			// The entry is removed at once, so that other hosts stop asking this one.
+			stopSignalled = nil
 		case <-f.storeRestored:
 			if f.clock.Sleep(ctx, time.Duration(rand.Float64()*float64(maxRestoreJitter))) != nil {
 				return nil
--- a/mock/target.go
+++ b/mock/target.go
@@ -73,6 +73,13 @@
 	return append([]Run(nil), l.runs[id]...)
 }
 
+// Arrived reports whether a request arrived at any target of a service.
+func (l *RequestLog) Arrived(id, service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.requestIDs[service][id]
+}
+
 // LastArrival returns the time of the latest arrival at a target, the zero time if there was none.
 func (l *RequestLog) LastArrival(target string) time.Time {
 	l.mu.Lock()
@@ -124,6 +131,8 @@
 	// requests without executing them. AbortsConnections aborts connections instead of answering, after the work.
 	// TruncatesAnswers sends only the first half of each body and then aborts the connection.
 	Paused, RefusesRequests, AbortsConnections, TruncatesAnswers atomic.Bool
+	// ExtraWork is added to the time of work on each request, in nanoseconds.
+	ExtraWork atomic.Int64
 	// AnswerHeader holds header fields that are added to all answers except endless ones; nil means none.
 	AnswerHeader atomic.Pointer[http.Header]
 	// Endless is a response without end that replaces the answer to every request that gets a slot; nil means none.
@@ -259,7 +268,7 @@
 		}
 		return
 	}
-	for wait := t.workTime; wait > 0 || t.Paused.Load(); wait = 0 {
+	for wait := t.workTime + time.Duration(t.ExtraWork.Load()); wait > 0 || t.Paused.Load(); wait = 0 {
 		select {
 		case <-time.After(max(wait, stallPollInterval)):
 		case <-deadline:
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -301,13 +301,16 @@
 			"targetLatencyMs": 200, "maxAttempts": 2, "priority": 1, "service": "one",
 		}
 	}
+	// The time-out of this route is above the grace of a stop.
+	long := route("long", "non_idempotent")
+	long["timeoutMs"] = 20000
 	fanout := route("all", "idempotent")
 	delete(fanout, "service")
 	fanout["fanoutServices"], fanout["topK"], fanout["minShardShare"] = shardServices, 10, 0.5
 	w.put("op/config", map[string]any{
 		"version": w.version,
 		"routes": []any{
-			fanout, route("one", "idempotent"), route("once", "non_idempotent"),
+			fanout, route("one", "idempotent"), route("once", "non_idempotent"), long,
 			route(fmt.Sprintf("v%d", w.version), "idempotent"),
 		},
 		"services": services,
