wire, front: an error of Accept doesn't end the host

Cause: wire.Server.Serve returned every error of Accept, and all loops of the process end with the first that returns.

Fix: after an error that passes the server tries again, with a pause that doubles from 5 ms to 1 s; it is counted and logged.

--- a/front/members.go
+++ b/front/members.go
@@ -39,6 +39,10 @@
 		return err
 	}
 	s := wire.NewServer(l)
+	s.OnAcceptError = func(err error) {
+		f.meter.Scope.SubScope("front").Counter("accept_failures").Inc(1)
+		f.log.Warn("connection of another host can't be accepted", zap.Error(err))
+	}
 	if err := s.Register(follow.ServiceName, follow.NewService(f.follow, f.coord.Members, f.engine.LeavingTargets, f.engine.RateLimits)); err != nil {
 		return err
 	}
--- a/meter/names.go
+++ b/meter/names.go
@@ -65,6 +65,7 @@
 	{Name: "follow_feed_failures", Kind: Counter, Help: "questions to other hosts for their views without an answer"},
 	{Name: "follow_feed_repeated", Kind: Counter, Help: "answers of other hosts that changed nothing, since this host deviates from them on purpose; each is followed by a pause"},
 	{Name: "follow_feed_stale", Kind: Counter, Help: "answers of other hosts that had lost the store themselves"},
+	{Name: "front_accept_failures", Kind: Counter, Help: "connections of other hosts that couldn't be accepted, for lack of descriptors or memory; the host tries again"},
 	{Name: "front_cut_off", Kind: Gauge, Help: "1 while the host is cut off from most data centres, can't serve and sends callers elsewhere"},
 	{Name: "pool_dials", Kind: Counter, Help: "new connections to targets and hosts"},
 	{Name: "pool_reuses", Kind: Counter, Help: "requests over kept connections"},
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -86,8 +86,17 @@
 	return c.Conn.Close()
 }
 
+const (
+	// minAcceptPause is the pause after a connection couldn't be accepted; it doubles up to maxAcceptPause while that goes on.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
 // Server serves net/rpc calls of other hosts.
 type Server struct {
+	// OnAcceptError is called with each error of a connection that can't be accepted at present. It must be set before Serve is called and must not block.
+	OnAcceptError func(error)
+
 	rpc         *rpc.Server
 	listener    net.Listener
 	mu          sync.Mutex
@@ -98,7 +107,12 @@
 
 // NewServer returns a server for the listener. Services must be registered before Serve is called.
 func NewServer(l net.Listener) *Server {
-	return &Server{rpc: rpc.NewServer(), listener: l, conns: map[net.Conn]bool{}}
+	return &Server{
+		OnAcceptError: func(error) {},
+		rpc:           rpc.NewServer(),
+		listener:      l,
+		conns:         map[net.Conn]bool{},
+	}
 }
 
 // Register registers the exported methods of a service under a name.
@@ -106,22 +120,39 @@
 	return eris.Wrapf(s.rpc.RegisterName(name, service), "register %s", name)
 }
 
-// Serve accepts connections until Close.
+// Serve accepts connections until Close. While descriptors or memory are used up, or connections end before they are accepted, it tries again after a pause.
 func (s *Server) Serve() error {
+	pause := minAcceptPause
 	for {
 		c, err := s.listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case isPassing(err):
+			s.OnAcceptError(err)
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		case err != nil:
 			return eris.Wrap(err, "accept connection from host")
 		}
+		pause = minAcceptPause
 		if s.trackConn(c) {
 			go s.serveConn(c)
 		}
 	}
 }
 
+// isPassing reports whether connections can be accepted again after an error of Accept.
+func isPassing(err error) bool {
+	for _, passing := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
+}
+
 // serveConn serves calls over one connection until it ends.
 func (s *Server) serveConn(c net.Conn) {
 	defer s.activeConns.Done()
