soak, follow: hosts of another build beside this one

The flag -beside names a program of another build that every second host of the soak runs, to see that both understand what they exchange. In package follow a function is renamed.

--- a/follow/feed.go
+++ b/follow/feed.go
@@ -392,7 +392,7 @@
 func (f *Follower) diff(known Known, members []coord.Member) (State, bool) {
 	s := State{Epoch: f.epochs.Current()}
 	s.OperatorAge, s.TargetsAge = f.Ages()
-	if o := f.operator.Load(); o.Config != nil && differs(o.Hash(), o.At(), known.Operator, epoch.Revision{Epoch: known.OperatorEpoch, Number: known.OperatorRevision}) {
+	if o := f.operator.Load(); o.Config != nil && needsView(o.Hash(), o.At(), known.Operator, epoch.Revision{Epoch: known.OperatorEpoch, Number: known.OperatorRevision}) {
 		packed, err := f.operatorCache.get(o.At(), o.Hash(), o)
 		if err != nil {
 			f.log.Error("cannot encode configuration for other hosts", zap.Error(err))
@@ -400,7 +400,7 @@
 		}
 		s.Operator = packed
 	}
-	if v := f.View(); !v.ReadAt.IsZero() && differs(v.Hash, v.At(), known.Targets, epoch.Revision{Epoch: known.TargetsEpoch, Number: known.TargetsRevision}) {
+	if v := f.View(); !v.ReadAt.IsZero() && needsView(v.Hash, v.At(), known.Targets, epoch.Revision{Epoch: known.TargetsEpoch, Number: known.TargetsRevision}) {
 		f.addTargets(&s, v, known.Targets)
 	}
 	if len(members) > 0 && coord.MembersHash(members) != known.Members {
@@ -409,8 +409,8 @@
 	return s, s.hasViews()
 }
 
-// differs reports whether a reading host needs a view with a hash at a revision, given those of its own view. Hashes are made from revisions of the store's entries, which mean the same within one epoch only.
-func differs(hash uint64, at epoch.Revision, known uint64, knownAt epoch.Revision) bool {
+// needsView reports whether a reading host needs a view with a hash at a revision, given those of its own view. Hashes are made from revisions of the store's entries, which mean the same within one epoch only.
+func needsView(hash uint64, at epoch.Revision, known uint64, knownAt epoch.Revision) bool {
 	return (hash != known || at.Epoch != knownAt.Epoch) && !at.Before(knownAt)
 }
 
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -47,6 +47,7 @@
 // host is one host of the cluster: its settings and its current process.
 type host struct {
 	name         string
+	program      string
 	settingsFile string
 	logFile      string
 	callers      netip.AddrPort
@@ -347,11 +348,15 @@
 	datacentre := []string{"a", "b", "c"}[i%3]
 	h := &host{
 		name:         fmt.Sprintf("h%d", i),
+		program:      w.program,
 		settingsFile: filepath.Join(w.dir, fmt.Sprintf("h%d.json", i)),
 		logFile:      filepath.Join(w.dir, fmt.Sprintf("h%d.log", i)),
 		callers:      freePort(w.t),
 		ready:        freePort(w.t),
 	}
+	if *besideFile != "" && i%2 == 1 {
+		h.program = *besideFile
+	}
 	settings, err := json.Marshal(map[string]any{
 		"name": h.name, "region": regionOf[datacentre], "datacentre": datacentre, "datacentres": regionOf,
 		"callers": h.callers, "ready": h.ready, "requests": freePort(w.t), "views": freePort(w.t),
@@ -374,7 +379,7 @@
 	}
 	out, err := os.OpenFile(h.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(w.t, err)
-	cmd := exec.Command(w.program, "front", "--settings", h.settingsFile)
+	cmd := exec.Command(h.program, "front", "--settings", h.settingsFile)
 	cmd.Stdout, cmd.Stderr = out, out
 	require.NoError(w.t, cmd.Start())
 	h.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,7 @@
 	singleSeed = flag.Uint64("seed", 0, "one seed to run again")
 	faultPhase = flag.Duration("length", 5*time.Second, "time of the harm of one run")
 	hostCount  = flag.Int("hosts", 6, "number of hosts")
+	besideFile = flag.String("beside", "", "program of another build that every second host runs")
 	keepDir    = flag.String("keep", "", "folder for the hosts' logs of runs that fail")
 )
 
