soak, mock: another fault's end doesn't end what a target has announced

Announced refusals are counted apart from the fault now, and several in force at once don't end each other. The check and its bound are unchanged, and stricter in effect: nothing withdraws an announcement any more.

--- a/mock/target.go
+++ b/mock/target.go
@@ -131,6 +131,8 @@
 	// requests without executing them. AbortsConnections aborts connections instead of answering, after the work.
 	// TruncatesAnswers sends only the first half of each body and then aborts the connection.
 	Paused, RefusesRequests, AbortsConnections, TruncatesAnswers atomic.Bool
+	// Backoffs is the number of reasons for which the target refuses requests and asks with Retry-After for none; zero means that it doesn't.
+	Backoffs atomic.Int64
 	// ExtraWork is added to the time of work on each request, in nanoseconds.
 	ExtraWork atomic.Int64
 	// AnswerHeader holds header fields that are added to all answers except endless ones; nil means none.
@@ -139,6 +141,9 @@
 	Endless atomic.Pointer[EndlessResponse]
 }
 
+// retryAfter is the time in seconds for which a target with Backoffs wants no requests.
+const retryAfter = "3.5"
+
 // slotCount is the number of requests that a target can work on at the same time.
 const slotCount = 4
 
@@ -240,7 +245,11 @@
 		return
 	}
 	t.requestLog.recordArrival(id, t.ID, t.Service, time.Now())
-	if t.RefusesRequests.Load() || id == "" {
+	backsOff := t.Backoffs.Load() > 0
+	if backsOff {
+		w.Header().Set("Retry-After", retryAfter)
+	}
+	if backsOff || t.RefusesRequests.Load() || id == "" {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -249,12 +249,14 @@
 func (w *cluster) announceRetryAfter(targets []*mock.Target, d time.Duration) {
 	began := time.Now()
 	startedBefore := w.processesStarted()
-	setEach(targets, func(t *mock.Target, on bool) {
-		t.SetAnswerHeader("Retry-After", "3.5")
-		t.RefusesRequests.Store(on)
-	}, true)
+	// The end of another fault or announcement must not end this one, so they are counted.
+	for _, t := range targets {
+		t.Backoffs.Add(1)
+	}
 	time.Sleep(d)
-	setEach(targets, func(t *mock.Target, on bool) { t.RefusesRequests.Store(on); t.RemoveAnswerHeader("Retry-After") }, false)
+	for _, t := range targets {
+		t.Backoffs.Add(-1)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, t := range targets {
