--- a/follow/dropped_test.go
+++ b/follow/dropped_test.go
@@ -31,7 +31,7 @@
 	return p
 }
 
-// TestDroppedViewsDoNotCountAsCurrent guards against a host that drops what another host sends, counts its views as current all the same, and so doesn't read the store: it misses an evacuation and a removed target.
+// TestDroppedViewsDoNotCountAsCurrent guards against a host that drops what another host sends, counts its views as current all the same, and so doesn't read the store: it misses a data centre that is taken out of service and a removed target.
 func TestDroppedViewsDoNotCountAsCurrent(t *testing.T) {
 	for name, alter := range map[string]func(t *testing.T, s State) State{
 		"operator data at an earlier revision, as an earlier build sends them": func(t *testing.T, s State) State {
@@ -74,10 +74,10 @@
 				fed.alter.Store(&altered)
 				fed.setOut(s)
 				fed.setTargets(s, 30, roster.Target{ID: "b", Service: "s", Revision: 5})
-				fed.requireOut(t, "the end of the evacuation")
-				time.Sleep(evacuationLimit)
+				fed.requireOut(t, "put back")
+				time.Sleep(outLimit)
 				require.Len(t, fed.View().Services["s"], 1, "the removed target")
-				require.LessOrEqual(t, fed.spins.Load(), int64(2*evacuationLimit/(100*time.Millisecond)))
+				require.LessOrEqual(t, fed.spins.Load(), int64(2*outLimit/(100*time.Millisecond)))
 				before := fed.sourceReads.Load()
 				time.Sleep(10 * time.Second)
 				require.LessOrEqual(t, fed.sourceReads.Load()-before, int64(10*maxReadsPerSecond))
@@ -159,7 +159,7 @@
 		}
 		fed.alter.Store(&replaced)
 		fed.setOut(s, "z")
-		fed.requireOut(t, "evacuation while the source knows nothing", "z")
+		fed.requireOut(t, "taken out while the source knows nothing", "z")
 	})
 }
 
--- a/follow/orders_test.go
+++ b/follow/orders_test.go
@@ -192,13 +192,13 @@
 	name := ""
 	switch r.random.IntN(10) {
 	case 0, 1, 2:
-		zone := []string{"y", "z"}[r.random.IntN(2)]
-		if r.out[zone] {
-			delete(r.out, zone)
+		datacentre := []string{"y", "z"}[r.random.IntN(2)]
+		if r.out[datacentre] {
+			delete(r.out, datacentre)
 		} else {
-			r.out[zone] = true
+			r.out[datacentre] = true
 		}
-		name, r.outAt = fmt.Sprint("evacuated ", r.out), now
+		name, r.outAt = fmt.Sprint("out ", r.out), now
 		r.write()
 	case 3:
 		r.version++
@@ -244,9 +244,9 @@
 		}
 		state := fmt.Sprintf("host %d at %s (busy %t, fed %t) after %q", i, now.Format("05.000"), h.busy.Load(), f.FedByPeer(), r.steps)
 		calmSince := h.disturbedAt
-		if now.Sub(later(r.outAt, calmSince)) > evacuationLimit {
-			for zone := range map[string]bool{"y": true, "z": true} {
-				require.Equal(r.t, r.out[zone], f.DatacentreOut(zone), "zone %s: %s", zone, state)
+		if now.Sub(later(r.outAt, calmSince)) > outLimit {
+			for d := range map[string]bool{"y": true, "z": true} {
+				require.Equal(r.t, r.out[d], f.DatacentreOut(d), "data centre %s: %s", d, state)
 			}
 		}
 		if now.Sub(later(r.versionAt, calmSince)) > configLimit {
@@ -266,7 +266,7 @@
 	return b
 }
 
-// TestRandomOrdersOfChangesReachAllHosts guards against views that stay behind the store after repeated evacuations, removals and versions, in any order with traffic that falls and rises, hosts that freeze or are replaced, and a store that is silent to some hosts; and against reads without pause.
+// TestRandomOrdersOfChangesReachAllHosts guards against views that stay behind the store after data centres that are taken out again, removals and versions, in any order with traffic that falls and rises, hosts that freeze or are replaced, and a store that is silent to some hosts; and against reads without pause.
 func TestRandomOrdersOfChangesReachAllHosts(t *testing.T) {
 	const seeds, steps = 10, 80
 	for seed := range uint64(seeds) {
--- a/follow/packed.go
+++ b/follow/packed.go
@@ -43,7 +43,7 @@
 
 // packCache caches the last packed value, because many hosts ask for the same one.
 //
-// The key includes the revision because the packed value contains it: content that returns at a later revision, such as a second evacuation of a data centre, would otherwise be sent as of the earlier one and dropped by its readers.
+// The key includes the revision because the packed value contains it: content that returns at a later revision, such as a data centre that is taken out of service again, would otherwise be sent as of the earlier one and dropped by its readers.
 type packCache struct {
 	mu     sync.Mutex
 	at     epoch.Revision
--- a/follow/repeat_test.go
+++ b/follow/repeat_test.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// evacuationLimit is the time within which a host has to stop sending to a data centre that is taken out of service.
-	evacuationLimit = 5 * time.Second
+	// outLimit is the time within which a host has to stop sending to a data centre that is taken out of service.
+	outLimit = 5 * time.Second
 	// maxReadsPerSecond is a rate of reads that a source answers one at a time: with a delay of longPollWait, or after a pause of retryPeriod.
 	maxReadsPerSecond = 3
 )
@@ -32,13 +32,13 @@
 	h.ownStore.putOperator(next)
 }
 
-// requireOut waits for evacuationLimit at most and requires that the host knows exactly these data centres to be out of service.
+// requireOut waits for outLimit at most and requires that the host knows exactly these data centres to be out of service.
 func (h *fedHost) requireOut(t *testing.T, step string, out ...string) {
 	want := map[string]bool{}
 	for _, d := range out {
 		want[d] = true
 	}
-	for end := time.Now().Add(evacuationLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(outLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if maps.Equal(want, h.operator.Load().Out) {
 			return
 		}
@@ -55,16 +55,16 @@
 	time.Sleep(longPollWait + longPollGrace + retryPeriod)
 }
 
-// TestRepeatedEvacuationsReachFedHosts guards against requests to a data centre that is taken out of service for the second time: its source sent the cached state of the first time, which the host dropped as older than what it had read from the store itself. The host must not ask its source without pause either.
-func TestRepeatedEvacuationsReachFedHosts(t *testing.T) {
+// TestDatacentresTakenOutAgainReachFedHosts guards against requests to a data centre that is taken out of service for the second time: its source sent the cached state of the first time, which the host dropped as older than what it had read from the store itself. The host must not ask its source without pause either.
+func TestDatacentresTakenOutAgainReachFedHosts(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
 		steps [][]string
 	}{
-		{name: "one zone twice", steps: [][]string{{"a"}, {}, {"a"}}},
-		{name: "one zone three times", steps: [][]string{{"a"}, {}, {"a"}, {}, {"a"}}},
-		{name: "two zones by turns", steps: [][]string{{"a"}, {"b"}, {"a"}, {"a", "b"}, {"a"}, {"b"}, {"a", "b"}}},
-		{name: "an evacuation that ends again", steps: [][]string{{}, {"a"}, {}, {"a"}, {}}},
+		{name: "one data centre twice", steps: [][]string{{"a"}, {}, {"a"}}},
+		{name: "one data centre three times", steps: [][]string{{"a"}, {}, {"a"}, {}, {"a"}}},
+		{name: "two data centres by turns", steps: [][]string{{"a"}, {"b"}, {"a"}, {"a", "b"}, {"a"}, {"b"}, {"a", "b"}}},
+		{name: "out and back again", steps: [][]string{{}, {"a"}, {}, {"a"}, {}}},
 	} {
 		for _, alone := range []string{"even steps", "odd steps", "no step"} {
 			t.Run(tt.name+", the host reads the store itself in "+alone, func(t *testing.T) {
