--- a/follow/feed.go
+++ b/follow/feed.go
@@ -295,7 +295,7 @@
 	return nil
 }
 
-// applyPeerTargets applies the targets in another host's answer, if there are any. It fails if they can't be decoded, differ from the present ones and are older, or are changes of another view. The end of the last outage doesn't matter: that host has already kept the targets that may come back.
+// applyPeerTargets applies the targets in another host's answer, if there are any. It fails if they can't be decoded, are older than the present ones, or are changes of another view. The end of the last outage doesn't matter: that host has already kept the targets that may come back.
 func (f *Follower) applyPeerTargets(s State, now time.Time) error {
 	var p roster.Listing
 	view := f.View()
--- a/follow/repeat_test.go
+++ b/follow/repeat_test.go
@@ -21,23 +21,16 @@
 
 // setOut writes the data centres out of service to the store of the source and to that of the fed host.
 func (h *fedHost) setOut(s *fakeStore, out ...string) {
-	set := map[string]bool{}
-	for _, d := range out {
-		set[d] = true
-	}
 	var next route.OperatorState
 	s.modify(func() { next = s.operator })
-	next.Out, next.Revision = set, next.Revision+10
+	next.Out, next.Revision = outOf(out), next.Revision+10
 	s.putOperator(next)
 	h.ownStore.putOperator(next)
 }
 
 // requireOut waits for outLimit at most and requires that the host knows exactly these data centres to be out of service.
 func (h *fedHost) requireOut(t *testing.T, step string, out ...string) {
-	want := map[string]bool{}
-	for _, d := range out {
-		want[d] = true
-	}
+	want := outOf(out)
 	for end := time.Now().Add(outLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if maps.Equal(want, h.operator.Load().Out) {
 			return
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -61,15 +61,20 @@
 
 // operatorState returns the operator data at a revision of the store.
 func operatorState(t *testing.T, revision, version uint64, out ...string) route.OperatorState {
-	o := route.OperatorState{
+	return route.OperatorState{
 		Config:   configVersion(t, version),
-		Out:      map[string]bool{},
+		Out:      outOf(out),
 		Revision: revision,
 	}
-	for _, d := range out {
-		o.Out[d] = true
+}
+
+// outOf returns data centres out of service as operator data hold them.
+func outOf(names []string) map[string]bool {
+	out := map[string]bool{}
+	for _, name := range names {
+		out[name] = true
 	}
-	return o
+	return out
 }
 
 // servedBy returns the ids of the targets of service s that may get work.
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -114,22 +113,11 @@
 	}
 }
 
-// awaitServing waits until each host answers requests.
+// awaitServing waits until each host is ready.
 func (w *cluster) awaitServing() {
 	w.t.Helper()
 	for _, h := range w.hosts {
-		require.Eventually(w.t, func() bool {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ready.String()+"/api/ready", http.NoBody)
-			require.NoError(w.t, err)
-			resp, err := http.DefaultClient.Do(r)
-			if err != nil {
-				return false
-			}
-			resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		}, 20*time.Second, 20*time.Millisecond, h.name)
+		require.Eventually(w.t, h.isReady, 20*time.Second, 20*time.Millisecond, h.name)
 	}
 }
 
