relay, pool: count and log sub-requests whose connection ends without a reply

The log of a request didn't say how its sub-requests ended, so that a request that ends its targets looked like one that shared targets with it. pool.Error tells an end before any byte of the response from a response that breaks off; relay counts such ends by reason and by whether another target had replied, and logs them with a digest of the request's content.

--- a/meter/names.go
+++ b/meter/names.go
@@ -29,6 +29,7 @@
 	{Name: "relay_groups_back", Kind: Counter, Help: "groups of shards that another host didn't take, asked from here"},
 	{Name: "relay_groups_lost", Kind: Counter, Help: "groups of shards whose host gave no answer"},
 	{Name: "relay_answers_too_long", Kind: Counter, Help: "answers of targets that had no end within their bounds"},
+	{Name: "relay_broken_off", Kind: Counter, Labels: "reason, answered", Help: "sub-requests whose connection the target ended without a reply: the first of a shard, hedges and retries, by whether another target had replied to the same request"},
 	{Name: "relay_leaving_sends", Kind: Counter, Labels: "origin", Help: "sub-requests sent to a target that this host knew to be draining or gone, by who said so: the store, the target, or another host"},
 	{Name: "relay_leaving_targets", Kind: Counter, Labels: "origin", Help: "targets that have said that they leave, by who told this host: the target or another host"},
 	{Name: "relay_quiet_targets", Kind: Counter, Help: "times that a target said for how long it wants nothing from this host"},
--- a/pool/bound.go
+++ b/pool/bound.go
@@ -52,6 +52,8 @@
 type limitedReader struct {
 	source    io.Reader
 	remaining int64
+	// received is set once bytes have been read. It is cleared before each request.
+	received bool
 }
 
 // Read reads from the source until the limit is reached.
@@ -61,6 +63,7 @@
 	}
 	n, err := l.source.Read(p[:min(int64(len(p)), l.remaining)])
 	l.remaining -= int64(n)
+	l.received = l.received || n > 0
 	return n, err
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -74,7 +75,9 @@
 	Sent bool
 	// Late is set if the deadline passed.
 	Late bool
-	Err  error
+	// BrokenOff is set if the peer ended the connection after the request was sent and before any of its response arrived.
+	BrokenOff bool
+	Err       error
 }
 
 // Error returns a text that says whether the request was sent, with the cause.
@@ -152,10 +155,16 @@
 		c.Close()
 		return nil, &Error{Err: err}
 	}
+	c.limit.received = false
 	response, reusable, err := p.roundTrip(c, r)
 	if err != nil {
 		c.Close()
-		return nil, &Error{Sent: true, Late: errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err), Err: err}
+		return nil, &Error{
+			Sent:      true,
+			Late:      errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err),
+			BrokenOff: !c.limit.received && isConnectionEnd(err),
+			Err:       err,
+		}
 	}
 	if !reusable || r.NewConn || !stop() {
 		c.Close()
@@ -171,6 +180,16 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
+// isConnectionEnd reports whether err says that the peer has closed or reset the connection.
+func isConnectionEnd(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // roundTrip writes the request and reads responses until one matches it.
 func (p *Pool) roundTrip(c *conn, r Request) (response *Response, reusable bool, err error) {
 	if _, err := c.Write(encodeRequest(r)); err != nil {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -258,3 +258,29 @@
 	require.ErrorIs(t, err, ErrNoLongerAllowed, "over a reused connection")
 	require.EqualValues(t, 1, s.requests.Load())
 }
+
+// TestBrokenOffConnectionIsTold guards against targets that end under a request being taken for targets that answer badly: only a connection that ends before any byte of the response counts as broken off.
+func TestBrokenOffConnectionIsTold(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		responses []string
+		brokenOff bool
+	}{
+		{name: "closed without a byte", responses: []string{""}, brokenOff: true},
+		{name: "closed within the head", responses: []string{"HTTP/1.1 200"}},
+		{name: "closed within the body", responses: []string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"}},
+		{name: "closed without a byte at the second request", responses: []string{completeResponse, ""}, brokenOff: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, p := startTarget(t, tc.responses...), newTestPool(t)
+			var err error
+			for range tc.responses {
+				_, err = exchange(p, s, Request{})
+			}
+			var failure *Error
+			require.ErrorAs(t, err, &failure)
+			require.True(t, failure.Sent)
+			require.Equal(t, tc.brokenOff, failure.BrokenOff)
+		})
+	}
+}
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -93,6 +93,7 @@
 		q.answered += len(g.answer.Signatures)
 		q.lost += len(g.parts) - len(g.answer.Signatures)
 		q.mergedAnswers = append(q.mergedAnswers, g.answer)
+		q.answeredByTarget = q.answeredByTarget || len(g.answer.Signatures) > 0
 		return
 	case unsent || (g.err == nil && (g.answer.Declined || g.answer.Status == http.StatusServiceUnavailable || g.answer.Status == http.StatusTooManyRequests)):
 		// With these statuses a host refuses without running anything: too few of its targets answer, or it is overloaded.
--- a/relay/query.go
+++ b/relay/query.go
@@ -55,6 +55,9 @@
 	unusedCapacity int
 	// admissionLimit is the concurrency limit at the request's services, before it is lowered for requests of low priority.
 	admissionLimit float64
+	// answeredByTarget is set once a target has run the request and replied, from here or through another host. brokenOff holds the targets that ended the connection instead.
+	answeredByTarget bool
+	brokenOff        []*roster.Entry
 	// maybeRan is set if a finished sub-request or delegation may have run, reachedTargets if a sub-request may have reached a target.
 	maybeRan, reachedTargets bool
 	hedges, retries          int
@@ -324,6 +327,10 @@
 	if notRun && r.reply != nil {
 		q.targetRefusals++
 	}
+	if poolErr != nil && poolErr.BrokenOff {
+		q.recordBrokenOff(sub)
+	}
+	q.answeredByTarget = q.answeredByTarget || (r.reply != nil && !notRun)
 	if p.reply != nil || p.lost {
 		return
 	}
--- a/relay/report.go
+++ b/relay/report.go
@@ -86,6 +86,17 @@
 	e.log.Info("sub-request sent to a leaving target", zap.String("request", q.request.ID), zap.String("target", sub.target.ID), zap.String("origin", origin), zap.Int64("age_ms", age.Milliseconds()), zap.Int64("ms", sub.sentAt.Sub(q.start).Milliseconds()), zap.Uint64("chosen_from", q.initialView.Revision), zap.Uint64("roster_revision", view.Revision))
 }
 
+// recordBrokenOff records and counts a sub-request whose connection the target ended without a reply. The counter tells whether the target ran a first copy, a hedge or a retry, and whether other targets had replied to the same request.
+func (q *query) recordBrokenOff(sub *subRequest) {
+	sub.brokenOff = true
+	q.brokenOff = append(q.brokenOff, sub.target)
+	answered := "no"
+	if q.answeredByTarget {
+		answered = "yes"
+	}
+	q.engine.scope.Tagged(map[string]string{"reason": string(sub.reason), "answered": answered}).Counter("broken_off").Inc(1)
+}
+
 // reportTooLong counts and logs a response that exceeds its size limits.
 func (q *query) reportTooLong(sub *subRequest, err error) {
 	e := q.engine
@@ -115,6 +126,9 @@
 		zap.Int("retries", q.retries),
 		zap.Float64("budget", e.budgets.lowest(q.parts)),
 	}
+	if len(q.brokenOff) > 0 {
+		fields = append(fields, zap.Int("broken_off", len(q.brokenOff)), zap.Bool("answered_by_target", q.answeredByTarget), zap.Stringer("content", q.request.Digest()))
+	}
 	if q.request.Shards != nil {
 		fields = append(fields, zap.Bool("group", true))
 	}
@@ -179,6 +193,9 @@
 				b.WriteString(",")
 			}
 			b.WriteString(f.target.ID + "@" + f.sentAt.Sub(q.start).Round(time.Millisecond).String())
+			if f.brokenOff {
+				b.WriteString("+ended")
+			}
 			if !f.ended {
 				b.WriteString("+open" + now.Sub(f.sentAt).Round(time.Millisecond).String())
 			}
--- a/relay/sub_request.go
+++ b/relay/sub_request.go
@@ -19,8 +19,10 @@
 	// pending is the record of the sub-request in the estimator.
 	pending *rank.PendingRequest
 	sentAt  time.Time
-	// ended is set once the result has been processed.
-	ended bool
+	// reason is why it was sent.
+	reason sendReason
+	// ended is set once the result has been processed, brokenOff if the target ended the connection instead of replying.
+	ended, brokenOff bool
 	// uncounted is set once the sub-request no longer counts as load, because it has ended or is overdue.
 	uncounted bool
 	// hedgeAt is the time at which a hedge is considered.
@@ -53,6 +55,7 @@
 		estimator: estimator,
 		pending:   estimator.BeginReserved(now),
 		sentAt:    now,
+		reason:    reason,
 		hedgeAt:   now.Add(estimator.OverdueAfter(now)),
 	}
 	if q.route.Fanout() {
--- a/relay/types.go
+++ b/relay/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kingcupcross/fault"
+	"kingcupcross/poison"
 	"kingcupcross/pool"
 	"kingcupcross/roster"
 )
@@ -40,6 +41,11 @@
 	Version uint64
 }
 
+// Digest identifies the content of the request, which is the same for all attempts of all callers with the same credentials.
+func (r *Request) Digest() poison.Digest {
+	return poison.DigestOf(r.Method, r.Host, r.URI, r.Header.Get("Authorization"), r.Body)
+}
+
 // Reply is a target's response to one sub-request.
 type Reply struct {
 	Status int
