--- a/mock/target.go
+++ b/mock/target.go
@@ -33,6 +33,8 @@
 	requestIDs map[string]map[string]bool
 	// repeatedArrivals holds, for each service, the times of arrivals of requests that had already arrived at one of its targets.
 	repeatedArrivals map[string][]time.Time
+	// ends holds the targets that ended while they ran a request, by the request's id.
+	ends map[string][]Run
 }
 
 // NewRequestLog returns an empty log.
@@ -42,6 +44,7 @@
 		arrivals:         map[string][]time.Time{},
 		requestIDs:       map[string]map[string]bool{},
 		repeatedArrivals: map[string][]time.Time{},
+		ends:             map[string][]Run{},
 	}
 }
 
@@ -66,6 +69,20 @@
 	l.runs[id] = append(l.runs[id], Run{Target: target, At: now})
 }
 
+// recordEnd records that a target ended under a request.
+func (l *RequestLog) recordEnd(id, target string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends[id] = append(l.ends[id], Run{Target: target, At: now})
+}
+
+// Ends returns the targets that ended under a request, in order.
+func (l *RequestLog) Ends(id string) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.ends[id]...)
+}
+
 // Runs returns the executions of a request.
 func (l *RequestLog) Runs(id string) []Run {
 	l.mu.Lock()
@@ -125,8 +142,12 @@
 	requestLog *RequestLog
 	server     *httptest.Server
 	slots      chan struct{}
+	endOnce    sync.Once
 	workTime   time.Duration
 
+	// OnEnd is called after a request whose path contains DeadlyMark has ended the target. Without it such requests are answered like others. It must be set before the first request.
+	OnEnd func()
+
 	// Injected faults. Paused holds the work on each request until it is cleared or the request's deadline passes. RefusesRequests refuses
 	// requests without executing them. AbortsConnections aborts connections instead of answering, after the work.
 	// TruncatesAnswers sends only the first half of each body and then aborts the connection.
@@ -141,6 +162,9 @@
 	Endless atomic.Pointer[EndlessResponse]
 }
 
+// DeadlyMark is the part of a path by which a request ends each target that runs it.
+const DeadlyMark = "deadly"
+
 // retryAfter is the time in seconds for which a target with Backoffs wants no requests.
 const retryAfter = "3.5"
 
@@ -287,9 +311,20 @@
 			return
 		}
 	}
+	if t.OnEnd != nil && strings.Contains(r.URL.Path, DeadlyMark) {
+		t.end(id)
+	}
 	t.writeAnswer(w, id)
 }
 
+// end ends the target under a request: all its connections are reset, and new ones are refused.
+func (t *Target) end(id string) {
+	t.requestLog.recordEnd(id, t.ID, time.Now())
+	t.Proxy.Close()
+	t.endOnce.Do(t.OnEnd)
+	panic(http.ErrAbortHandler)
+}
+
 // writeAnswer sends the records and their signature. Depending on the injected faults it aborts the connection instead or truncates the answer.
 func (t *Target) writeAnswer(w http.ResponseWriter, id string) {
 	if t.AbortsConnections.Load() {
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -205,6 +205,7 @@
 	target, err := mock.NewTarget(id, service, w.requestLog, 5*time.Millisecond)
 	require.NoError(w.t, err)
 	w.t.Cleanup(target.Close)
+	target.OnEnd = func() { go w.replaceEnded(target) }
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.targets = append(w.targets, target)
@@ -212,6 +213,31 @@
 	w.put("servers/"+id, target.Entry(datacentre, "ready", 1))
 }
 
+const (
+	// expiryDelay is the time after which the entry of a target that has ended is removed from the store.
+	expiryDelay = time.Second
+	// restartDelay is the time after which a target that has ended is back under another id.
+	restartDelay = 2 * time.Second
+)
+
+// replaceEnded removes the entry of a target that has ended, and starts the target again.
+func (w *cluster) replaceEnded(target *mock.Target) {
+	w.mu.Lock()
+	datacentre := w.datacentreOf[target.ID]
+	// It can't be drained any more.
+	w.drainStart[target.ID] = time.Now().Add(time.Hour)
+	w.mu.Unlock()
+	time.Sleep(expiryDelay)
+	w.mu.Lock()
+	w.store.Delete("servers/" + target.ID)
+	delete(w.written, "servers/"+target.ID)
+	w.mu.Unlock()
+	time.Sleep(restartDelay - expiryDelay)
+	if w.t.Context().Err() == nil {
+		w.addTarget(target.Service, datacentre)
+	}
+}
+
 // drain adds a replacement for a random target and then marks the target as draining in the store.
 func (w *cluster) drain(r *rand.Rand) {
 	target, datacentre := w.pickTargetToDrain(r)
