--- a/front/front.go
+++ b/front/front.go
@@ -201,6 +201,7 @@
 	f.addLoop(&group, f.greetHosts)
 	f.addLoop(&group, f.watchCutOff)
 	f.addLoop(&group, f.spreadPoison)
+	f.addLoop(&group, f.watchPath)
 	f.addLoop(&group, func(ctx context.Context) error { return f.follow.RunFeed(ctx, f.newFeed()) })
 	f.addLoop(&group, func(ctx context.Context) error { return f.follow.RunFallbacks(ctx, f.newFeed()) })
 	f.addGracefulStop(&group, callers, hosts)
--- a/front/poison.go
+++ b/front/poison.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,30 +59,29 @@
 
 // askWitnesses has other hosts connect to targets and returns the results of those that answer in time.
 func (f *Front) askWitnesses(ctx context.Context, witnesses []coord.Member, request poison.CheckRequest) [][]poison.Reachability {
-	ctx, cancel := f.clock.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	replies := make([]poison.CheckReply, len(witnesses))
+	results := make([][]poison.Reachability, len(witnesses))
 	var calls sync.WaitGroup
 	for i, m := range witnesses {
-		calls.Go(func() {
-			err := f.dialer.Call(ctx, m.Views, poison.ServiceName+".Check", request, &replies[i])
-			if err == nil {
-				err = replies[i].Validate(len(request.Targets))
-			}
-			if err != nil {
-				f.log.Debug("host can't tell whether it reaches targets", zap.String("from", m.Name), zap.Error(err))
-				replies[i].Results = nil
-			}
-		})
+		calls.Go(func() { results[i] = f.askWitness(ctx, m, request) })
 	}
 	calls.Wait()
-	var all [][]poison.Reachability
-	for _, r := range replies {
-		if r.Results != nil {
-			all = append(all, r.Results)
-		}
+	return slices.DeleteFunc(results, func(r []poison.Reachability) bool { return r == nil })
+}
+
+// askWitness has another host connect to targets and returns the results, nil if it gives none in time.
+func (f *Front) askWitness(ctx context.Context, m coord.Member, request poison.CheckRequest) []poison.Reachability {
+	ctx, cancel := f.clock.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	var reply poison.CheckReply
+	err := f.dialer.Call(ctx, m.Views, poison.ServiceName+".Check", request, &reply)
+	if err == nil {
+		err = reply.Validate(len(request.Targets))
+	}
+	if err != nil {
+		f.log.Debug("host can't tell whether it reaches targets", zap.String("from", m.Name), zap.Error(err))
+		return nil
 	}
-	return all
+	return reply.Results
 }
 
 // checkTargets connects to targets for another host.
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -72,6 +72,7 @@
 	unresponsiveRefusals chan struct{}
 	poison               PoisonControl
 	endings              recentEndings
+	reach                *reachTracker
 	log                  *zap.Logger
 	scope                tally.Scope
 }
@@ -88,6 +89,7 @@
 		log:                  log,
 		scope:                scope,
 		unresponsiveRefusals: make(chan struct{}, 1),
+		reach:                newReachTracker(),
 	}
 	e.budgets = newExtraBudgets(clock, limits.ExtraShare, func() float64 {
 		return limits.ExtraSlack * state.LimitsShare()
--- a/relay/query.go
+++ b/relay/query.go
@@ -371,6 +371,11 @@
 	sub := r.sub
 	sub.ended = true
 	q.uncountInFlight(sub)
+	if now := q.engine.clock.Now(); r.err == nil {
+		q.engine.reach.noteReply(now)
+	} else if q.subCtx.Err() == nil {
+		q.engine.reach.noteFailure(sub.target.Process(), now)
+	}
 	var poolErr *pool.Error
 	switch {
 	case errors.As(r.err, &poolErr):
@@ -426,6 +431,7 @@
 		}
 		if f := p.onlyOpen(); f != nil && q.route.Idempotent && !now.Before(f.hedgeAt) {
 			f.hedgeAt = now.Add(hedgeRecheck)
+			q.engine.reach.noteFailure(f.target.Process(), now)
 			q.uncountInFlight(f)
 			q.hedge(p, now)
 		}
--- a/relay/unresponsive.go
+++ b/relay/unresponsive.go
@@ -52,6 +52,7 @@
 
 // signalUnresponsiveRefusal sends on the channel of Blocked unless a signal is already pending.
 func (e *Engine) signalUnresponsiveRefusal() {
+	e.reach.suspect()
 	select {
 	case e.unresponsiveRefusals <- struct{}{}:
 	default:
