--- a/mock/target.go
+++ b/mock/target.go
@@ -145,7 +145,7 @@
 	endOnce    sync.Once
 	workTime   time.Duration
 
-	// OnEnd is called after a request whose path contains DeadlyMark has ended the target. Without it such requests are answered like others. It must be set before the first request.
+	// OnEnd is called when a request whose path contains DeadlyMark ends the target, before its connections are reset. Without it such requests are answered like others. It must be set before the first request.
 	OnEnd func()
 
 	// Injected faults. Paused holds the work on each request until it is cleared or the request's deadline passes. RefusesRequests refuses
@@ -320,8 +320,8 @@
 // end ends the target under a request: all its connections are reset, and new ones are refused.
 func (t *Target) end(id string) {
 	t.requestLog.recordEnd(id, t.ID, time.Now())
-	t.Proxy.Close()
 	t.endOnce.Do(t.OnEnd)
+	t.Proxy.Close()
 	panic(http.ErrAbortHandler)
 }
 
