coord, front, relay: other hosts answer for a host without a way to the targets

Cause: a partial partition taken for targets that are away. Each host judged by itself, and requests were passed on only at low load, to coordinators of the region.

A host whose own connections to a sample of targets fail where another host's succeed now has such hosts answer its callers, those of the region first and within a route's homes; requests that wait and may be repeated go the same way, others only if they can't have begun. It declines the requests of other hosts, compares again and again, and goes back once it reaches half as many as the best of the others. This works because callers and peers still reach it.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -64,7 +64,9 @@
 	newestVersion atomic.Uint64
 	// lowTraffic is set while this host's own request rate is low, so that it forwards its requests.
 	lowTraffic atomic.Bool
-	quota      *quota
+	// relief holds the hosts that answer this host's requests while it has no way to the targets, nil or empty if it has.
+	relief atomic.Pointer[[]Member]
+	quota  *quota
 }
 
 // New returns a Coord that knows no other hosts yet.
@@ -251,6 +253,9 @@
 	now := c.clock.Now()
 	low, sparse := c.rate.record(now)
 	c.lowTraffic.Store(low)
+	if a := c.relieve(ctx, r, now); a != nil {
+		return a
+	}
 	if low {
 		if others, answersOwn := c.PreferredCoordinators(); !answersOwn {
 			if a := c.forward(ctx, r, others, sparse, now); a != nil {
@@ -258,12 +263,15 @@
 			}
 		}
 	}
-	return c.Answer(ctx, r)
+	return c.relieveAfter(ctx, r, c.Answer(ctx, r), now)
 }
 
 // Answer answers a request on this host and records the grant that comes with a request from another host.
 func (c *Coord) Answer(ctx context.Context, r *relay.Request) *relay.Answer {
 	if r.Origin != "" {
+		if c.NeedsRelief() {
+			return declineWithoutPath()
+		}
 		c.quota.receive(r.Origin, r.LimitsShare, r.LimitsShareTTL, r.Shards != nil, c.clock.Now())
 	}
 	minVersion := max(r.MinVersion, c.newestVersion.Load())
@@ -271,7 +279,9 @@
 		// Once a request has been answered by a newer configuration, none may be answered by an older one.
 		return &relay.Answer{Fault: fault.New(fault.Starting, "version %d is in force here, a request was answered by %d", config.Version, minVersion).WithRetry(100 * time.Millisecond)}
 	}
-	return c.AnswerLocally(ctx, r)
+	a := c.AnswerLocally(ctx, r)
+	a.Declined = a.Declined || (a.PathLost && r.Origin != "")
+	return a
 }
 
 // forward sends a request to the best coordinator. It returns nil where this host is to answer the request itself, within what is left of r.TimeLeft.
@@ -280,6 +290,11 @@
 	if !found {
 		return nil
 	}
+	return c.forwardTo(ctx, r, to, sparse, now)
+}
+
+// forwardTo is forward to a given host.
+func (c *Coord) forwardTo(ctx context.Context, r *relay.Request, to Member, sparse bool, now time.Time) *relay.Answer {
 	timeout := c.forwardTimeout(r)
 	if timeout <= 0 {
 		return nil
--- /dev/null
+++ b/coord/relief_test.go
@@ -0,0 +1,180 @@
+package coord
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"kingcupcross/fault"
+	"kingcupcross/pool"
+	"kingcupcross/relay"
+	"kingcupcross/route"
+	"kingcupcross/timer"
+)
+
+// reliefFixture is a host without a way to the targets and what the others answer.
+type reliefFixture struct {
+	*Coord
+	// answers holds the answers of the other hosts by name; a host without one is unreachable.
+	answers map[string]*relay.Answer
+	errs    map[string]error
+	asked   []string
+	own     *relay.Answer
+	ownRuns int
+}
+
+// newReliefFixture returns a host in region "near" that knows hosts there and in region "far". Routes: /any/, /near/ with a home in "near", and /once/, which may not be repeated.
+func newReliefFixture(t *testing.T) *reliefFixture {
+	f := &reliefFixture{
+		answers: map[string]*relay.Answer{},
+		errs:    map[string]error{},
+		own:     &relay.Answer{Status: 200},
+	}
+	r := func(prefix string, idempotent bool, regions ...string) route.Route {
+		return route.Route{
+			Name:       prefix,
+			Host:       "h",
+			Prefix:     prefix,
+			Idempotent: idempotent,
+			Timeout:    time.Second,
+			Aim:        100 * time.Millisecond,
+			Attempts:   2,
+			Shares:     []route.WeightedService{{Service: "s", Weight: 1}},
+			Regions:    regions,
+		}
+	}
+	config, err := route.New(route.Config{
+		Version: 1,
+		Routes:  []route.Route{r("/any/", true), r("/near/", true, "near"), r("/once/", false)},
+	})
+	require.NoError(t, err)
+	self := member(0, "a", 1)
+	self.Region = "near"
+	f.Coord = New(timer.New(), Dependencies{
+		Self: self,
+		AnswerLocally: func(context.Context, *relay.Request) *relay.Answer {
+			f.ownRuns++
+			return f.own
+		},
+		Send: func(_ context.Context, to Member, r *relay.Request, _ time.Time) (*relay.Answer, error) {
+			f.asked = append(f.asked, to.Name)
+			require.Equal(t, self.Name, r.Origin)
+			if err := f.errs[to.Name]; err != nil {
+				return nil, err
+			}
+			if a := f.answers[to.Name]; a != nil {
+				return a, nil
+			}
+			return nil, &pool.Error{Err: errors.New("refused")}
+		},
+		Ping:   func(context.Context, Member) error { return nil },
+		Config: func() *route.Config { return config },
+	}, zap.NewNop(), tally.NoopScope)
+	// Requests aren't passed on for a low rate.
+	f.rate.high, f.rate.windowStart = true, time.Now()
+	return f
+}
+
+// hosts returns two hosts in the region "far" and one in "near".
+func (f *reliefFixture) hosts() []Member {
+	near, far, farther := member(1, "b", 1), member(2, "c", 1), member(3, "d", 1)
+	near.Region, far.Region, farther.Region = "near", "far", "far"
+	return []Member{far, near, farther}
+}
+
+func (f *reliefFixture) request(path string) *relay.Answer {
+	f.asked = nil
+	return f.Handle(context.Background(), &relay.Request{ID: "q", Host: "h", Path: path, TimeLeft: time.Second})
+}
+
+// TestReliefGoesToHostsOfTheRegionFirst guards against requests leaving the region without need, or at all where the route has its home there.
+func TestReliefGoesToHostsOfTheRegionFirst(t *testing.T) {
+	f := newReliefFixture(t)
+	f.SetRelief(f.hosts())
+	f.answers["h01"], f.answers["h02"], f.answers["h03"] = &relay.Answer{Status: 201}, &relay.Answer{Status: 202}, &relay.Answer{Status: 202}
+	require.Equal(t, 201, f.request("/any/x").Status)
+	require.Equal(t, []string{"h01"}, f.asked)
+	delete(f.answers, "h01")
+	require.Equal(t, 202, f.request("/any/x").Status)
+	require.Equal(t, "h01", f.asked[0])
+	require.Len(t, f.asked, 2)
+
+	f = newReliefFixture(t)
+	f.SetRelief(f.hosts())
+	require.Equal(t, 200, f.request("/near/x").Status)
+	require.Equal(t, []string{"h01"}, f.asked, "hosts outside the route's home must not get the request")
+	require.Equal(t, 1, f.ownRuns)
+}
+
+// TestReliefEnds guards against requests that go on by other hosts once the way is back.
+func TestReliefEnds(t *testing.T) {
+	f := newReliefFixture(t)
+	f.SetRelief(f.hosts())
+	require.True(t, f.NeedsRelief())
+	f.SetRelief(nil)
+	require.False(t, f.NeedsRelief())
+	require.Equal(t, 200, f.request("/any/x").Status)
+	require.Empty(t, f.asked)
+}
+
+// TestHostWithoutAWayDeclinesOthers guards against hosts without a way to the targets asking each other in circles.
+func TestHostWithoutAWayDeclinesOthers(t *testing.T) {
+	f := newReliefFixture(t)
+	f.SetRelief(f.hosts())
+	a := f.Answer(context.Background(), &relay.Request{ID: "q", Host: "h", Path: "/any/x", Origin: "h09"})
+	require.True(t, a.Declined)
+	require.True(t, a.Fault.NotRun())
+	require.Zero(t, f.ownRuns)
+	require.Empty(t, f.asked)
+
+	f.answers["h01"] = &relay.Answer{Declined: true, Status: 503}
+	f.answers["h02"], f.answers["h03"] = &relay.Answer{Status: 202}, &relay.Answer{Status: 202}
+	require.Equal(t, 202, f.request("/any/x").Status)
+}
+
+// TestRequestsCaughtByTheLossAreRelieved guards against requests that waited when the way was lost being failed, and against one that may not be repeated being sent again though it may have run.
+func TestRequestsCaughtByTheLossAreRelieved(t *testing.T) {
+	ran, notRun := fault.New(fault.NoReplica, "no way"), fault.New(fault.NoReplica, "no way")
+	ran.Ran = true
+	for _, tc := range []struct {
+		name, path string
+		own        *relay.Answer
+		relieved   bool
+	}{
+		{name: "idempotent, may have run", path: "/any/x", own: &relay.Answer{Fault: ran, PathLost: true}, relieved: true},
+		{name: "idempotent, other failure", path: "/any/x", own: &relay.Answer{Fault: ran}},
+		{name: "not idempotent, may have run", path: "/once/x", own: &relay.Answer{Fault: ran, PathLost: true}},
+		{name: "not idempotent, has not run", path: "/once/x", own: &relay.Answer{Fault: notRun, PathLost: true}, relieved: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newReliefFixture(t)
+			f.answers["h01"] = &relay.Answer{Status: 201}
+			f.AnswerLocally = func(context.Context, *relay.Request) *relay.Answer {
+				f.SetRelief(f.hosts())
+				return tc.own
+			}
+			a := f.request(tc.path)
+			require.Equal(t, tc.relieved, a.Status == 201)
+			if !tc.relieved {
+				require.Equal(t, tc.own, a)
+			}
+		})
+	}
+}
+
+// TestLostReliefIsNotRepeated guards against a request that may not be repeated running at two hosts because the first one's answer was lost.
+func TestLostReliefIsNotRepeated(t *testing.T) {
+	f := newReliefFixture(t)
+	f.SetRelief(f.hosts())
+	f.errs["h01"] = &pool.Error{Sent: true, Err: errors.New("reset")}
+	a := f.request("/once/x")
+	require.Equal(t, fault.Unknown, a.Fault.Kind)
+	require.False(t, a.Fault.NotRun())
+	require.Equal(t, []string{"h01"}, f.asked)
+	require.Zero(t, f.ownRuns)
+}
--- a/front/path.go
+++ b/front/path.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -15,14 +16,18 @@
 
 const (
 	// pathSample is the number of targets at random by which a host checks its way to all of them.
-	pathSample = 6
+	pathSample = poison.MaxChecked
+	// minReached is the number of these that another host must reach to answer this one's requests.
+	minReached = 2
 	// pathWitnesses is the number of other hosts that are asked whether they reach these targets.
 	pathWitnesses = 5
-	// pathCheckPeriod is the least time between two suspicions that are checked.
+	// pathCheckPeriod is the time between two checks while the way is lost, and the least time between two suspicions that are checked.
 	pathCheckPeriod = 250 * time.Millisecond
+	// witnessPeriod is the time between two questions to other hosts while the way is lost.
+	witnessPeriod = 2 * time.Second
 )
 
-// watchPath finds out, where no target answers this host, whether other hosts reach them, until the context ends.
+// watchPath has other hosts answer this host's requests while it has no way to the targets and they have, until the context ends.
 func (f *Front) watchPath(ctx context.Context) error {
 	for {
 		select {
@@ -30,43 +35,77 @@
 		case <-ctx.Done():
 			return nil
 		}
-		f.findRelief(ctx)
+		if relief := f.findRelief(ctx); len(relief) > 0 {
+			f.log.Warn("host has lost its way to the targets, other hosts answer its requests", zap.Int("hosts", len(relief)))
+			f.coord.SetRelief(relief)
+			f.engine.SetPathLost(true)
+			f.closeTargetConnections()
+			f.awaitPath(ctx)
+			f.engine.SetPathLost(false)
+			f.coord.SetRelief(nil)
+			f.log.Info("host has a way to the targets again")
+		}
 		if f.clock.Sleep(ctx, pathCheckPeriod) != nil {
 			return nil
 		}
 	}
 }
 
-// findRelief returns the hosts that reach targets which this one doesn't, none if this host reaches half of a sample itself.
+// awaitPath returns once this host reaches about as many targets as others do.
+func (f *Front) awaitPath(ctx context.Context) {
+	asked := f.clock.Now()
+	for f.clock.Sleep(ctx, pathCheckPeriod) == nil {
+		if countReached(f.reachAll(ctx, f.sampleTargets())) == 0 && f.clock.Since(asked) < witnessPeriod {
+			continue
+		}
+		asked = f.clock.Now()
+		own, best, relief := f.comparePaths(ctx)
+		if own > 0 && 2*own >= best {
+			return
+		}
+		if len(relief) > 0 {
+			f.coord.SetRelief(relief)
+		}
+	}
+}
+
+// findRelief returns the hosts that reach targets which this one doesn't, none if this host reaches at least half as many as any other.
 func (f *Front) findRelief(ctx context.Context) []coord.Member {
+	own, best, relief := f.comparePaths(ctx)
+	if 2*own >= best || best < minReached {
+		return nil
+	}
+	return relief
+}
+
+// comparePaths connects to a sample of the targets from here and from other hosts. It returns the number that this host reached, the greatest number that another one did, and the hosts that reached at least half of that and more than this host.
+func (f *Front) comparePaths(ctx context.Context) (own, best int, relief []coord.Member) {
 	sample := f.sampleTargets()
 	witnesses := f.coord.Witnesses(pathWitnesses)
-	if len(sample) == 0 || len(witnesses) == 0 {
-		return nil
+	if len(sample) == 0 {
+		return 0, 0, nil
 	}
 	var request poison.CheckRequest
 	for _, t := range sample {
 		request.Targets = append(request.Targets, t.Process())
 	}
-	var own []poison.Reachability
-	others := make([][]poison.Reachability, len(witnesses))
+	reached := make([]int, len(witnesses))
 	var checks sync.WaitGroup
-	checks.Go(func() { own = f.reachAll(ctx, sample) })
+	checks.Go(func() { own = countReached(f.reachAll(ctx, sample)) })
 	for i, m := range witnesses {
-		checks.Go(func() { others[i] = f.askWitness(ctx, m, request) })
+		checks.Go(func() { reached[i] = countReached(f.askWitness(ctx, m, request)) })
 	}
 	checks.Wait()
-	if 2*countReached(own) >= len(sample) {
-		return nil
+	for _, n := range reached {
+		best = max(best, n)
 	}
-	var relief []coord.Member
 	for i, m := range witnesses {
-		if 2*countReached(others[i]) >= len(sample) {
+		if reached[i] > own && 2*reached[i] >= best {
 			relief = append(relief, m)
 		}
 	}
-	f.log.Info("few targets can be reached", zap.Int("reached", countReached(own)), zap.Int("of", len(sample)), zap.Int("hosts_that_reach_them", len(relief)), zap.Int("hosts_asked", len(witnesses)))
-	return relief
+	f.log.Info("compared with what other hosts reach", zap.Int("reached", own), zap.Int("reached_by_others", best), zap.Int("of", len(sample)), zap.Int("hosts_that_reach_more", len(relief)), zap.Int("hosts_asked", len(witnesses)))
+	return own, best, relief
 }
 
 // countReached returns the number of targets that were reached.
@@ -91,3 +130,12 @@
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(len(all), pathSample)]
 }
+
+// closeTargetConnections closes the idle connections to targets, which may never answer again.
+func (f *Front) closeTargetConnections() {
+	hosts := map[netip.AddrPort]bool{}
+	for _, m := range f.coord.Members() {
+		hosts[m.Requests] = true
+	}
+	f.pool.CloseUnusable(func(a netip.AddrPort) bool { return hosts[a] })
+}
--- a/front/poison.go
+++ b/front/poison.go
@@ -18,8 +18,10 @@
 const (
 	// targetCheckTimeout limits a connection to a target that is checked: a round trip between regions and a busy processor.
 	targetCheckTimeout = 100 * time.Millisecond
-	// maxWitnesses is the number of other hosts that are asked whether they reach targets.
-	maxWitnesses = 3
+	// maxWitnesses is the number of other hosts that are asked whether they reach targets. Some may have no way to the targets themselves.
+	maxWitnesses = 5
+	// maxReplyAge is the time since the last reply of any target up to which this host certainly has a way to targets.
+	maxReplyAge = 100 * time.Millisecond
 	// maxTold is the number of hosts that are told of a change at once. They tell others in turn.
 	maxTold = 24
 	// reminderPeriod is the time between two messages to a random host with all that is known, for hosts that missed a change.
@@ -43,9 +45,13 @@
 	checks.Go(func() { own = f.reachAll(ctx, targets) })
 	checks.Go(func() { others = f.askWitnesses(ctx, witnesses, request) })
 	checks.Wait()
+	informed := slices.ContainsFunc(others, func(results []poison.Reachability) bool {
+		return slices.ContainsFunc(results, func(r poison.Reachability) bool { return r != poison.Unknown })
+	})
 	var ended []*roster.Entry
 	for i, t := range targets {
-		refused, reached := len(witnesses) == 0, false
+		// If no other host can tell, replies of other targets show that this host isn't cut off.
+		refused, reached := !informed && f.engine.RepliedWithin(maxReplyAge), false
 		for _, results := range others {
 			refused = refused || results[i] == poison.Refused
 			reached = reached || results[i] == poison.Reached
@@ -88,6 +94,10 @@
 func (f *Front) checkTargets(processes []roster.Process) []poison.Reachability {
 	view := f.follow.View()
 	results := make([]poison.Reachability, len(processes))
+	if f.coord.NeedsRelief() {
+		// What this host finds says nothing about the targets.
+		return results
+	}
 	var known []*roster.Entry
 	var places []int
 	for i, p := range processes {
--- a/mock/proxy.go
+++ b/mock/proxy.go
@@ -14,12 +14,12 @@
 	Address netip.AddrPort
 
 	upstream atomic.Pointer[netip.AddrPort]
-	listener net.Listener
 	delay    atomic.Int64
 	// stalled is set for each direction in which bytes are held back: [0] for requests, [1] for responses.
 	stalled [2]atomic.Bool
 
 	mu        sync.Mutex
+	listener  net.Listener
 	openConns map[net.Conn]bool
 }
 
@@ -35,10 +35,30 @@
 		openConns: map[net.Conn]bool{},
 	}
 	p.upstream.Store(&to)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
+// Refuse stops accepting connections, so that new ones are refused, until Accept is called. Open ones go on.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener.Close()
+}
+
+// Accept accepts connections again at the same address after Refuse.
+func (p *Proxy) Accept() error {
+	l, err := net.Listen("tcp", p.Address.String())
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
+
 // Delay sets the time by which the proxy delays each chunk of bytes that it forwards from now on.
 func (p *Proxy) Delay(d time.Duration) { p.delay.Store(int64(d)) }
 
@@ -66,14 +86,14 @@
 
 // Close stops listening and resets all open connections.
 func (p *Proxy) Close() {
-	p.listener.Close()
+	p.Refuse()
 	p.Reset()
 }
 
 // accept accepts connections and serves each in its own goroutine, until the listener is closed.
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/mock/store.go
+++ b/mock/store.go
@@ -217,6 +217,16 @@
 
 // ServeHTTP handles a call according to the current mode.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, func(_ string, value []byte) []byte { return value })
+}
+
+// View returns a handler for calls to the store that replaces each value it returns by what rewrite makes of it.
+func (s *Store) View(rewrite func(key string, value []byte) []byte) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, rewrite) })
+}
+
+// serve answers a call.
+func (s *Store) serve(w http.ResponseWriter, r *http.Request, rewrite func(key string, value []byte) []byte) {
 	s.mu.Lock()
 	mode := s.mode
 	s.expireLeases(time.Now())
@@ -239,6 +249,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	status, answer := s.route(r)
+	if fields, ok := answer.(map[string]any); ok {
+		for _, field := range []string{"items", "events"} {
+			if rows, ok := fields[field].([]row); ok {
+				fields[field] = rewriteRows(rows, rewrite)
+			}
+		}
+	}
 	if mode == LoseReplies && r.Method != http.MethodGet {
 		panic(http.ErrAbortHandler)
 	}
@@ -248,6 +265,18 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
+// rewriteRows returns copies of rows with rewritten values.
+func rewriteRows(rows []row, rewrite func(key string, value []byte) []byte) []row {
+	rewritten := make([]row, len(rows))
+	for i, r := range rows {
+		rewritten[i] = r
+		if !r.Deleted {
+			rewritten[i].Value = rewrite(r.Key, r.Value)
+		}
+	}
+	return rewritten
+}
+
 // route executes a call and returns the status and body of its answer.
 func (s *Store) route(r *http.Request) (int, any) {
 	query := r.URL.Query()
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -107,6 +107,14 @@
 	return r.(*Estimator)
 }
 
+// ForgetSilence lets all targets be asked again that couldn't be reached or haven't answered.
+func (t *Table) ForgetSilence() {
+	t.estimators.Range(func(_, r any) bool {
+		r.(*Estimator).forgetSilence()
+		return true
+	})
+}
+
 // Retain deletes the estimators of the targets for which known returns false.
 func (t *Table) Retain(known func(id string) bool) {
 	t.estimators.Range(func(id, _ any) bool {
@@ -320,6 +328,15 @@
 	return now.Sub(r.unansweredSince) > max(minSilence, time.Duration(silenceLatencies*r.usualLatency))
 }
 
+// forgetSilence forgets failures to reach the target and requests without an answer.
+func (r *Estimator) forgetSilence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unreachableUntil, r.backoff = time.Time{}, 0
+	r.unansweredSince, r.unansweredCount = time.Time{}, 0
+	r.failureRate = 0
+}
+
 // UsualLatency returns the usual latency of the target's complete answers, without the decay and penalties that pauses and failures bring into estimates.
 func (r *Estimator) UsualLatency() time.Duration {
 	r.mu.Lock()
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -20,6 +20,16 @@
 	return &Answer{Fault: f}
 }
 
+// pathLostAnswer returns the answer to a request that waits for targets to which this host has lost its way.
+func (q *query) pathLostAnswer() *Answer {
+	q.exempt = true
+	f := fault.New(fault.NoReplica, "this host has lost its way to the targets")
+	f.Ran = q.mayHaveRun()
+	a := faultAnswer(f)
+	a.PathLost = true
+	return a
+}
+
 // failureAnswer returns the answer to a request that can no longer succeed. A target's own error reply is passed on; the fault says that nothing ran only if that is certain.
 func (q *query) failureAnswer() *Answer {
 	if !q.route.Fanout() && q.lastFailure != nil && q.lastFailure.Status >= 300 {
--- a/relay/query.go
+++ b/relay/query.go
@@ -238,6 +238,7 @@
 	clock := q.engine.clock
 	wakeup := make(chan struct{}, 1)
 	stopTimer := func() bool { return false }
+	pathLost := q.engine.reach.whenLost()
 	defer func() { stopTimer() }()
 	for {
 		if q.verdictDue {
@@ -269,6 +270,11 @@
 		case ended := <-q.checkResults:
 			q.handleCheck(ended)
 		case <-wakeup:
+		case <-pathLost:
+			if q.route.Idempotent {
+				return q.pathLostAnswer()
+			}
+			pathLost = nil
 		case <-q.ctx.Done():
 			return faultAnswer(fault.New(fault.TooLate, "the caller has left"))
 		}
--- a/relay/reach_test.go
+++ b/relay/reach_test.go
@@ -39,3 +39,54 @@
 		require.True(t, suspected(l))
 	})
 }
+
+// TestQueriesEndWhenTheWayIsLost guards against queries that wait for their deadline although another host could answer them, and against requests that may not be repeated being given up while a target may run them.
+func TestQueriesEndWhenTheWayIsLost(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		withCluster(t, func(l *testCluster) {
+			l.setSingleRoute(idempotent, 2)
+			l.addTarget("one", 0, neverAnswers)
+			l.addTarget("one", 1, neverAnswers)
+			answers := make(chan *Answer, 1)
+			go func() {
+				a, _ := l.request("/one/x")
+				answers <- a
+			}()
+			time.Sleep(100 * time.Millisecond)
+			l.engine.SetPathLost(true)
+			synctest.Wait()
+			if !idempotent {
+				require.Empty(t, answers)
+				return
+			}
+			a := <-answers
+			require.True(t, a.PathLost)
+			require.False(t, a.Fault.NotRun())
+			// A request that begins meanwhile is handled, as no other host may have taken it.
+			l.setBehaviour("one", 0, answersAfter(10*time.Millisecond, "a"))
+			a, _ = l.request("/one/x")
+			require.Nil(t, a.Fault)
+		})
+	}
+}
+
+// TestTargetsAreAskedAgainOnceTheWayIsBack guards against the silence of targets during the loss keeping requests from them afterwards.
+func TestTargetsAreAskedAgainOnceTheWayIsBack(t *testing.T) {
+	withCluster(t, func(l *testCluster) {
+		l.setFanoutRoute(20, 0.89)
+		for _, s := range l.config.Routes[0].Shards {
+			l.setBehaviour(s, 0, refusesConnection)
+			l.setBehaviour(s, 1, refusesConnection)
+		}
+		l.request("/all/x")
+		l.engine.SetPathLost(true)
+		for i, s := range l.config.Routes[0].Shards {
+			l.setBehaviour(s, 0, answersAfter(10*time.Millisecond, l.view.Services[l.config.Routes[0].Shards[i]][0].ID))
+			l.setBehaviour(s, 1, answersAfter(10*time.Millisecond, l.view.Services[l.config.Routes[0].Shards[i]][1].ID))
+		}
+		l.engine.SetPathLost(false)
+		a, _ := l.request("/all/x")
+		require.Nil(t, a.Fault)
+		require.Zero(t, a.Missing)
+	})
+}
--- a/relay/types.go
+++ b/relay/types.go
@@ -87,7 +87,9 @@
 	ReachedTargets bool
 	// LeavingTargets are the targets known to the answering host to have announced their shutdown.
 	LeavingTargets []roster.Leaver
-	// Declined is set if the asked host declined the request because it is starting, leaving or has an outdated configuration.
+	// PathLost is set if the request waited for targets to which this host has lost its way. Another host may answer it.
+	PathLost bool
+	// Declined is set if the asked host declined the request because it is starting, leaving, has an outdated configuration or no way to the targets.
 	Declined bool
 }
 
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -54,6 +54,8 @@
 	ready        netip.AddrPort
 	// startMu is held while a process is started, so that concurrent faults don't start two processes.
 	startMu sync.Mutex
+	// path is the host's way to the targets.
+	path *hostPath
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -73,9 +75,8 @@
 	program string
 	dir     string
 	store   *mock.Store
-	server  *httptest.Server
-	// gateway is the proxy through which the hosts reach the store.
-	gateway        *mock.Proxy
+	// gateways are the proxies through which the hosts reach the store.
+	gateways       []*mock.Proxy
 	requestLog     *mock.RequestLog
 	mu             sync.Mutex
 	targets        []*mock.Target
@@ -163,15 +164,6 @@
 	if statesEpoch {
 		w.store.StateEpoch()
 	}
-	w.server = httptest.NewServer(w.store)
-	t.Cleanup(func() {
-		w.server.CloseClientConnections()
-		w.server.Close()
-	})
-	var err error
-	w.gateway, err = mock.NewProxy(netip.MustParseAddrPort(w.server.Listener.Addr().String()))
-	require.NoError(t, err)
-	t.Cleanup(w.gateway.Close)
 	for i := range shards {
 		for k := range 2 {
 			w.addTarget(fmt.Sprintf("shard%d", i), []string{"a", "c"}[k])
@@ -208,7 +200,12 @@
 	target, err := mock.NewTarget(id, service, w.requestLog, 5*time.Millisecond)
 	require.NoError(w.t, err)
 	w.t.Cleanup(target.Close)
-	target.OnEnd = func() { go w.replaceEnded(target) }
+	target.OnEnd = func() {
+		for _, h := range w.hosts {
+			h.path.end(target.Proxy.Address)
+		}
+		go w.replaceEnded(target)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.targets = append(w.targets, target)
@@ -384,6 +381,7 @@
 		logFile:      filepath.Join(w.dir, fmt.Sprintf("h%d.log", i)),
 		callers:      freePort(w.t),
 		ready:        freePort(w.t),
+		path:         newHostPath(w.t),
 	}
 	if *besideFile != "" && i%2 == 1 {
 		h.program = *besideFile
@@ -391,7 +389,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"name": h.name, "region": regionOf[datacentre], "datacentre": datacentre, "datacentres": regionOf,
 		"callers": h.callers, "ready": h.ready, "requests": freePort(w.t), "views": freePort(w.t),
-		"metrics": freePort(w.t).Port(), "store": w.gateway.Address, "grace": grace.String(),
+		"metrics": freePort(w.t).Port(), "store": w.addGateway(h).Address, "grace": grace.String(),
 		"apply": applyBound.String(), "extra": budgetShare, "slack": budgetSlack,
 	})
 	require.NoError(w.t, err)
@@ -401,6 +399,27 @@
 	w.t.Cleanup(func() { h.kill() })
 }
 
+// addGateway starts a proxy through which a host reaches the store, which shows it the host's own way to the targets.
+func (w *cluster) addGateway(h *host) *mock.Proxy {
+	server := httptest.NewServer(w.store.View(h.path.rewrite))
+	w.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	gateway, err := mock.NewProxy(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	require.NoError(w.t, err)
+	w.t.Cleanup(gateway.Close)
+	w.gateways = append(w.gateways, gateway)
+	return gateway
+}
+
+// eachGateway applies a fault to the links of all hosts to the store.
+func (w *cluster) eachGateway(apply func(*mock.Proxy)) {
+	for _, g := range w.gateways {
+		apply(g)
+	}
+}
+
 // start starts a host's process, unless a concurrent fault has already restarted it.
 func (w *cluster) start(h *host) {
 	h.startMu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -190,12 +190,19 @@
 		target(func(t *mock.Target, on bool) { t.Proxy.Delay(map[bool]time.Duration{true: 80 * time.Millisecond}[on]) }),
 		target(func(t *mock.Target, _ bool) { t.Proxy.Reset() }),
 		func(_ *rand.Rand, d time.Duration) {
-			during(d, func() { w.gateway.Stall(true, true) }, func() { w.gateway.Stall(false, false) })
+			during(d, func() { w.eachGateway(func(g *mock.Proxy) { g.Stall(true, true) }) }, w.releaseGateways)
 		},
 		func(_ *rand.Rand, d time.Duration) {
-			during(d, func() { w.gateway.Stall(false, true) }, func() { w.gateway.Stall(false, false) })
+			during(d, func() { w.eachGateway(func(g *mock.Proxy) { g.Stall(false, true) }) }, w.releaseGateways)
+		},
+		func(_ *rand.Rand, d time.Duration) {
+			during(d/4, func() { w.eachGateway((*mock.Proxy).Reset) }, func() {})
+		},
+		// Some hosts lose their way to all targets.
+		func(r *rand.Rand, d time.Duration) {
+			f, n := pathFault(r.IntN(int(pathFaults))), 1+r.IntN(len(w.hosts)/2)
+			during(2*d, func() { w.losePaths(r, n, f) }, w.restorePaths)
 		},
-		func(_ *rand.Rand, d time.Duration) { during(d/4, w.gateway.Reset, func() {}) },
 		// The store may always return stale reads where they are allowed, so they don't count as a fault of the cluster.
 		func(_ *rand.Rand, d time.Duration) {
 			w.store.FreezeStaleReads()
