--- a/front/poison.go
+++ b/front/poison.go
@@ -20,6 +20,8 @@
 	targetCheckTimeout = 100 * time.Millisecond
 	// maxWitnesses is the number of other hosts that are asked whether they reach targets. Some may have no way to the targets themselves.
 	maxWitnesses = 5
+	// enoughWitnesses is the number of these whose results suffice.
+	enoughWitnesses = 2
 	// maxReplyAge is the time since the last reply of any target up to which this host certainly has a way to targets.
 	maxReplyAge = 100 * time.Millisecond
 	// maxTold is the number of hosts that are told of a change at once. They tell others in turn.
@@ -45,13 +47,10 @@
 	checks.Go(func() { own = f.reachAll(ctx, targets) })
 	checks.Go(func() { others = f.askWitnesses(ctx, witnesses, request) })
 	checks.Wait()
-	informed := slices.ContainsFunc(others, func(results []poison.Reachability) bool {
-		return slices.ContainsFunc(results, func(r poison.Reachability) bool { return r != poison.Unknown })
-	})
 	var ended []*roster.Entry
 	for i, t := range targets {
 		// If no other host can tell, replies of other targets show that this host isn't cut off.
-		refused, reached := !informed && f.engine.RepliedWithin(maxReplyAge), false
+		refused, reached := len(others) == 0 && f.engine.RepliedWithin(maxReplyAge), false
 		for _, results := range others {
 			refused = refused || results[i] == poison.Refused
 			reached = reached || results[i] == poison.Reached
@@ -63,15 +62,25 @@
 	return ended
 }
 
-// askWitnesses has other hosts connect to targets and returns the results of those that answer in time.
+// askWitnesses has other hosts connect to targets and returns the results of the first enoughWitnesses that can tell, or of those that answer in time. It doesn't wait for hosts that are slow or gone.
 func (f *Front) askWitnesses(ctx context.Context, witnesses []coord.Member, request poison.CheckRequest) [][]poison.Reachability {
-	results := make([][]poison.Reachability, len(witnesses))
-	var calls sync.WaitGroup
-	for i, m := range witnesses {
-		calls.Go(func() { results[i] = f.askWitness(ctx, m, request) })
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan []poison.Reachability, len(witnesses))
+	for _, m := range witnesses {
+		go func() { replies <- f.askWitness(ctx, m, request) }()
+	}
+	var informed [][]poison.Reachability
+	for range witnesses {
+		results := <-replies
+		if slices.ContainsFunc(results, func(r poison.Reachability) bool { return r != poison.Unknown }) {
+			informed = append(informed, results)
+		}
+		if len(informed) == enoughWitnesses {
+			break
+		}
 	}
-	calls.Wait()
-	return slices.DeleteFunc(results, func(r []poison.Reachability) bool { return r == nil })
+	return informed
 }
 
 // askWitness has another host connect to targets and returns the results, nil if it gives none in time.
