coord, relay, platform: a relieved request brings the attempts that it has used

All hosts had just lost power; a slow start made a host take its way for lost, and the requests that waited went to another host, which used all attempts again.

A request that waited says how many targets of a part it may have reached; the other host has only the rest, and where none is left it isn't passed on. Another host's request is declined only if no target can have got it. relay TestAttemptsUsedElsewhereCount and the case of coord TestRequestsCaughtByTheLossAreRelieved fail without.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -280,7 +280,8 @@
 		return &relay.Answer{Fault: fault.New(fault.Starting, "version %d is in force here, a request was answered by %d", config.Version, minVersion).WithRetry(100 * time.Millisecond)}
 	}
 	a := c.AnswerLocally(ctx, r)
-	a.Declined = a.Declined || (a.PathLost && r.Origin != "")
+	// The other host may use all attempts itself only if none was used here.
+	a.Declined = a.Declined || (a.PathLost && r.Origin != "" && a.AttemptsUsed == 0)
 	return a
 }
 
--- a/coord/relief.go
+++ b/coord/relief.go
@@ -70,6 +70,10 @@
 	if !a.PathLost || !(a.Fault.NotRun() || c.idempotent(r)) {
 		return a
 	}
+	if m := c.matchRoute(r); m == nil || a.AttemptsUsed >= max(m.Attempts, 1) {
+		return a
+	}
+	r.AttemptsUsed = a.AttemptsUsed
 	if r.TimeLeft > 0 {
 		if r.TimeLeft -= c.clock.Since(began); r.TimeLeft <= 0 {
 			return a
--- a/coord/relief_test.go
+++ b/coord/relief_test.go
@@ -147,6 +147,7 @@
 		relieved   bool
 	}{
 		{name: "idempotent, may have run", path: "/any/x", own: &relay.Answer{Fault: ran, PathLost: true}, relieved: true},
+		{name: "idempotent, all attempts used", path: "/any/x", own: &relay.Answer{Fault: ran, PathLost: true, AttemptsUsed: 2}},
 		{name: "idempotent, other failure", path: "/any/x", own: &relay.Answer{Fault: ran}},
 		{name: "not idempotent, may have run", path: "/once/x", own: &relay.Answer{Fault: ran, PathLost: true}},
 		{name: "not idempotent, has not run", path: "/once/x", own: &relay.Answer{Fault: notRun, PathLost: true}, relieved: true},
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -9,20 +9,38 @@
 
 // reserveNewTarget reserves a sub-request at the target that is expected to answer first and was not yet asked for the part. It returns nil if there is none, the part has used up its attempts, or the limits at all such targets are reached.
 func (q *query) reserveNewTarget(p *part, now time.Time) *reservation {
-	if p.reached >= max(q.route.Attempts, 1) || len(p.askedTargets) >= max(q.route.Attempts, 1)+maxDialFailures {
+	if p.reached >= q.attempts() || len(p.askedTargets) >= q.attempts()+maxDialFailures {
 		return nil
 	}
 	return q.reserveFastest(p, now, func(t *roster.Entry) bool { return !slices.Contains(p.askedTargets, t.ID) })
 }
 
+// attempts returns the number of targets that the request may be sent to here, per part.
+func (q *query) attempts() int {
+	return max(q.route.Attempts, 1) - q.request.AttemptsUsed
+}
+
+// attemptsUsed returns the greatest number of targets that a part of the request may have reached, here or by another host.
+func (q *query) attemptsUsed() int {
+	used := 0
+	for _, p := range q.parts {
+		used = max(used, p.reached)
+		if p.delegated {
+			// Another host may have used all.
+			used = max(used, q.attempts())
+		}
+	}
+	return q.request.AttemptsUsed + used
+}
+
 // canRepeat reports whether a target that was already asked for the part may be asked again; it reserves nothing.
 func (q *query) canRepeat(p *part, now time.Time) bool {
-	return len(p.subRequests) < max(q.route.Attempts, 1)+maxRepeats && q.fastestTarget(p, now, p.wasAsked) != nil
+	return len(p.subRequests) < q.attempts()+maxRepeats && q.fastestTarget(p, now, p.wasAsked) != nil
 }
 
 // reserveAskedTarget reserves another sub-request at the fastest target that was already asked for the part. It returns nil if there is none or the part has used up its repeats.
 func (q *query) reserveAskedTarget(p *part, now time.Time) *reservation {
-	if len(p.subRequests) >= max(q.route.Attempts, 1)+maxRepeats {
+	if len(p.subRequests) >= q.attempts()+maxRepeats {
 		return nil
 	}
 	return q.reserveFastest(p, now, p.wasAsked)
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -26,7 +26,7 @@
 	f := fault.New(fault.NoReplica, "this host has lost its way to the targets")
 	f.Ran = q.mayHaveRun()
 	a := faultAnswer(f)
-	a.PathLost = true
+	a.PathLost, a.AttemptsUsed = true, q.attemptsUsed()
 	return a
 }
 
--- a/relay/reach_test.go
+++ b/relay/reach_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +62,7 @@
 			}
 			a := <-answers
 			require.True(t, a.PathLost)
+			require.Positive(t, a.AttemptsUsed)
 			require.False(t, a.Fault.NotRun())
 			// A request that begins meanwhile is handled, as no other host may have taken it.
 			l.setBehaviour("one", 0, answersAfter(10*time.Millisecond, "a"))
@@ -90,3 +92,20 @@
 		require.Zero(t, a.Missing)
 	})
 }
+
+// TestAttemptsUsedElsewhereCount guards against a request that waited at a host without a way reaching more targets of a shard in all than its route allows.
+func TestAttemptsUsedElsewhereCount(t *testing.T) {
+	withCluster(t, func(l *testCluster) {
+		l.setFanoutRoute(20, 0.89)
+		for _, s := range l.config.Routes[0].Shards {
+			l.setBehaviour(s, 0, losesConnection)
+		}
+		a := l.engine.Handle(context.Background(), &Request{ID: "q", Method: "GET", Host: "h", Path: "/all/x", URI: "/all/x", TimeLeft: deadline, AttemptsUsed: 1})
+		require.NotNil(t, a.Fault)
+		for _, e := range l.view.Entries {
+			if e.Datacentre == "dc1" {
+				require.Zero(t, l.sentTo(e.ID))
+			}
+		}
+	})
+}
--- a/relay/types.go
+++ b/relay/types.go
@@ -30,6 +30,8 @@
 	Origin string
 	// TransitTime is the part of the latency objective reserved for the transit between this host and the one that the caller asked.
 	TransitTime time.Duration
+	// AttemptsUsed is the number of targets that the request may have reached already, per part, at a host that has lost its way to them.
+	AttemptsUsed int
 	// MinVersion is the oldest configuration version that may be used for the request.
 	MinVersion uint64
 	// LimitsShare is the fraction of the limits over all hosts that the origin transfers to this host.
@@ -89,6 +91,8 @@
 	LeavingTargets []roster.Leaver
 	// PathLost is set if the request waited for targets to which this host has lost its way. Another host may answer it.
 	PathLost bool
+	// AttemptsUsed is, with PathLost, the number of targets that a part of the request may have reached already.
+	AttemptsUsed int
 	// Declined is set if the asked host declined the request because it is starting, leaving, has an outdated configuration or no way to the targets.
 	Declined bool
 }
