coord, front, relay, poison: terms of failover and of recent crashes

Names only: relief and witness become failover and check peers, the tracker of ended connections is a crash tracker.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -64,9 +64,9 @@
 	newestVersion atomic.Uint64
 	// lowTraffic is set while this host's own request rate is low, so that it forwards its requests.
 	lowTraffic atomic.Bool
-	// relief holds the hosts that answer this host's requests while it has no way to the targets, nil or empty if it has.
-	relief atomic.Pointer[[]Member]
-	quota  *quota
+	// failoverHosts holds the hosts that answer this host's requests while it has no way to the targets, nil or empty if it has.
+	failoverHosts atomic.Pointer[[]Member]
+	quota         *quota
 }
 
 // New returns a Coord that knows no other hosts yet.
@@ -153,8 +153,8 @@
 	return all
 }
 
-// Witnesses returns up to n other hosts at random, of as many data centres as possible and those of other data centres first: what has cut this host off has least likely cut these off too.
-func (c *Coord) Witnesses(n int) []Member {
+// CheckPeers returns up to n other hosts at random, of as many data centres as possible and those of other data centres first: what has cut this host off has least likely cut these off too.
+func (c *Coord) CheckPeers(n int) []Member {
 	all := c.others()
 	taken := map[string]int{}
 	rank := map[string]int{}
@@ -253,7 +253,7 @@
 	now := c.clock.Now()
 	low, sparse := c.rate.record(now)
 	c.lowTraffic.Store(low)
-	if a := c.relieve(ctx, r, now); a != nil {
+	if a := c.failOver(ctx, r, now); a != nil {
 		return a
 	}
 	if low {
@@ -263,13 +263,13 @@
 			}
 		}
 	}
-	return c.relieveAfter(ctx, r, c.Answer(ctx, r), now)
+	return c.failOverAfter(ctx, r, c.Answer(ctx, r), now)
 }
 
 // Answer answers a request on this host and records the grant that comes with a request from another host.
 func (c *Coord) Answer(ctx context.Context, r *relay.Request) *relay.Answer {
 	if r.Origin != "" {
-		if c.NeedsRelief() {
+		if c.FailingOver() {
 			return declineWithoutPath()
 		}
 		c.quota.receive(r.Origin, r.LimitsShare, r.LimitsShareTTL, r.Shards != nil, c.clock.Now())
--- a/coord/coord_test.go
+++ b/coord/coord_test.go
@@ -374,27 +374,27 @@
 	}
 }
 
-// TestWitnessesAreFromOtherDatacentres guards against a host that has lost its way to targets together with its data centre asking only hosts that have lost it too.
-func TestWitnessesAreFromOtherDatacentres(t *testing.T) {
+// TestCheckPeersAreFromOtherDatacentres guards against a host that has lost its way to targets together with its data centre asking only hosts that have lost it too.
+func TestCheckPeersAreFromOtherDatacentres(t *testing.T) {
 	var all []Member
 	for i := range 9 {
 		all = append(all, member(i, []string{"a", "b", "c"}[i%3], 1))
 	}
 	c := New(timer.New(), Dependencies{Self: all[0]}, zap.NewNop(), tally.NoopScope)
-	require.Empty(t, c.Witnesses(3))
+	require.Empty(t, c.CheckPeers(3))
 	c.SetMembers(all)
 	for range 50 {
 		var datacentres []string
-		for _, m := range c.Witnesses(3) {
+		for _, m := range c.CheckPeers(3) {
 			require.NotEqual(t, all[0].Name, m.Name)
 			datacentres = append(datacentres, m.Datacentre)
 		}
 		slices.Sort(datacentres)
 		require.Equal(t, []string{"a", "b", "c"}, datacentres)
-		require.NotEqual(t, "a", c.Witnesses(1)[0].Datacentre)
+		require.NotEqual(t, "a", c.CheckPeers(1)[0].Datacentre)
 	}
 	c.SetMembers(all[:1])
-	require.Empty(t, c.Witnesses(3))
+	require.Empty(t, c.CheckPeers(3))
 }
 
 // TestRecipientsIncludeCoordinators guards against news that reach the hosts of a large cluster in random order, those that answer most requests perhaps last.
--- a/coord/relief.go
+++ b/coord/failover.go
@@ -13,11 +13,11 @@
 	"kingcupcross/relay"
 )
 
-// maxReliefHosts is the number of other hosts that one request is sent to, one after the other, while this host has no way to the targets. The next one is asked only if the request has not begun at the one before.
-const maxReliefHosts = 3
+// maxFailoverHosts is the number of other hosts that one request is sent to, one after the other, while this host has no way to the targets. The next one is asked only if the request has not begun at the one before.
+const maxFailoverHosts = 3
 
-// SetRelief sets the hosts that answer callers' requests while this one has no way to the targets; none means that it answers them itself. Hosts of the region come first, in an order of this host's own, so that several hosts that need relief spread over them.
-func (c *Coord) SetRelief(hosts []Member) {
+// SetFailoverHosts sets the hosts that answer callers' requests while this one has no way to the targets; none means that it answers them itself. Hosts of the region come first, in an order of this host's own, so that several hosts without a way spread over them.
+func (c *Coord) SetFailoverHosts(hosts []Member) {
 	sorted := slices.Clone(hosts)
 	far := func(m Member) int {
 		if m.Region == c.Self.Region {
@@ -29,23 +29,23 @@
 	slices.SortFunc(sorted, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(weight(b), weight(a)))
 	})
-	c.relief.Store(&sorted)
+	c.failoverHosts.Store(&sorted)
 }
 
-// NeedsRelief reports whether other hosts answer this host's requests.
-func (c *Coord) NeedsRelief() bool {
-	hosts := c.relief.Load()
+// FailingOver reports whether other hosts answer this host's requests.
+func (c *Coord) FailingOver() bool {
+	hosts := c.failoverHosts.Load()
 	return hosts != nil && len(*hosts) > 0
 }
 
-// relieve has another host answer a caller's request while this one has no way to the targets. It returns nil where this host is to answer within what is left of r.TimeLeft.
-func (c *Coord) relieve(ctx context.Context, r *relay.Request, now time.Time) *relay.Answer {
-	if !c.NeedsRelief() {
+// failOver has another host answer a caller's request while this one has no way to the targets. It returns nil where this host is to answer within what is left of r.TimeLeft.
+func (c *Coord) failOver(ctx context.Context, r *relay.Request, now time.Time) *relay.Answer {
+	if !c.FailingOver() {
 		return nil
 	}
 	m := c.matchRoute(r)
 	asked := 0
-	for _, to := range *c.relief.Load() {
+	for _, to := range *c.failoverHosts.Load() {
 		// The body may be sent within the caller's region and to those in which the route may be served.
 		if m != nil && !m.Allows(to.Region) && to.Region != c.Self.Region {
 			continue
@@ -53,11 +53,11 @@
 		if c.estimatorOf(to).Estimate(c.clock.Now(), 1000) >= maxPeerLatency {
 			continue
 		}
-		if asked++; asked > maxReliefHosts {
+		if asked++; asked > maxFailoverHosts {
 			break
 		}
 		if a := c.forwardTo(ctx, r, to, false, c.clock.Now()); a != nil {
-			c.scope.Counter("relieved").Inc(1)
+			c.scope.Counter("failed_over").Inc(1)
 			return a
 		}
 	}
@@ -65,8 +65,8 @@
 	return nil
 }
 
-// relieveAfter has another host answer a request for which this one lost its way to the targets while it waited for them. It returns the answer of this host where that isn't possible or allowed: a request that may not be repeated must not have run.
-func (c *Coord) relieveAfter(ctx context.Context, r *relay.Request, a *relay.Answer, began time.Time) *relay.Answer {
+// failOverAfter has another host answer a request for which this one lost its way to the targets while it waited for them. It returns the answer of this host where that isn't possible or allowed: a request that may not be repeated must not have run.
+func (c *Coord) failOverAfter(ctx context.Context, r *relay.Request, a *relay.Answer, began time.Time) *relay.Answer {
 	if !a.PathLost || !(a.Fault.NotRun() || c.idempotent(r)) {
 		return a
 	}
@@ -79,7 +79,7 @@
 			return a
 		}
 	}
-	if b := c.relieve(ctx, r, c.clock.Now()); b != nil {
+	if b := c.failOver(ctx, r, c.clock.Now()); b != nil {
 		return b
 	}
 	return a
--- a/coord/relief_test.go
+++ b/coord/failover_test.go
@@ -17,8 +17,8 @@
 	"kingcupcross/timer"
 )
 
-// reliefFixture is a host without a way to the targets and what the others answer.
-type reliefFixture struct {
+// failoverFixture is a host without a way to the targets and what the others answer.
+type failoverFixture struct {
 	*Coord
 	// answers holds the answers of the other hosts by name; a host without one is unreachable.
 	answers map[string]*relay.Answer
@@ -28,9 +28,9 @@
 	ownRuns int
 }
 
-// newReliefFixture returns a host in region "near" that knows hosts there and in region "far". Routes: /any/, /near/ with a home in "near", and /once/, which may not be repeated.
-func newReliefFixture(t *testing.T) *reliefFixture {
-	f := &reliefFixture{
+// newFailoverFixture returns a host in region "near" that knows hosts there and in region "far". Routes: /any/, /near/ with a home in "near", and /once/, which may not be repeated.
+func newFailoverFixture(t *testing.T) *failoverFixture {
+	f := &failoverFixture{
 		answers: map[string]*relay.Answer{},
 		errs:    map[string]error{},
 		own:     &relay.Answer{Status: 200},
@@ -81,21 +81,21 @@
 }
 
 // hosts returns two hosts in the region "far" and one in "near".
-func (f *reliefFixture) hosts() []Member {
+func (f *failoverFixture) hosts() []Member {
 	near, far, farther := member(1, "b", 1), member(2, "c", 1), member(3, "d", 1)
 	near.Region, far.Region, farther.Region = "near", "far", "far"
 	return []Member{far, near, farther}
 }
 
-func (f *reliefFixture) request(path string) *relay.Answer {
+func (f *failoverFixture) request(path string) *relay.Answer {
 	f.asked = nil
 	return f.Handle(context.Background(), &relay.Request{ID: "q", Host: "h", Path: path, TimeLeft: time.Second})
 }
 
-// TestReliefGoesToHostsOfTheRegionFirst guards against requests leaving the region without need, or at all where the route has its home there.
-func TestReliefGoesToHostsOfTheRegionFirst(t *testing.T) {
-	f := newReliefFixture(t)
-	f.SetRelief(f.hosts())
+// TestFailoverGoesToHostsOfTheRegionFirst guards against requests leaving the region without need, or at all where the route has its home there.
+func TestFailoverGoesToHostsOfTheRegionFirst(t *testing.T) {
+	f := newFailoverFixture(t)
+	f.SetFailoverHosts(f.hosts())
 	f.answers["h01"], f.answers["h02"], f.answers["h03"] = &relay.Answer{Status: 201}, &relay.Answer{Status: 202}, &relay.Answer{Status: 202}
 	require.Equal(t, 201, f.request("/any/x").Status)
 	require.Equal(t, []string{"h01"}, f.asked)
@@ -104,28 +104,28 @@
 	require.Equal(t, "h01", f.asked[0])
 	require.Len(t, f.asked, 2)
 
-	f = newReliefFixture(t)
-	f.SetRelief(f.hosts())
+	f = newFailoverFixture(t)
+	f.SetFailoverHosts(f.hosts())
 	require.Equal(t, 200, f.request("/near/x").Status)
 	require.Equal(t, []string{"h01"}, f.asked, "hosts outside the route's home must not get the request")
 	require.Equal(t, 1, f.ownRuns)
 }
 
-// TestReliefEnds guards against requests that go on by other hosts once the way is back.
-func TestReliefEnds(t *testing.T) {
-	f := newReliefFixture(t)
-	f.SetRelief(f.hosts())
-	require.True(t, f.NeedsRelief())
-	f.SetRelief(nil)
-	require.False(t, f.NeedsRelief())
+// TestFailoverEnds guards against requests that go on by other hosts once the way is back.
+func TestFailoverEnds(t *testing.T) {
+	f := newFailoverFixture(t)
+	f.SetFailoverHosts(f.hosts())
+	require.True(t, f.FailingOver())
+	f.SetFailoverHosts(nil)
+	require.False(t, f.FailingOver())
 	require.Equal(t, 200, f.request("/any/x").Status)
 	require.Empty(t, f.asked)
 }
 
 // TestHostWithoutAWayDeclinesOthers guards against hosts without a way to the targets asking each other in circles.
 func TestHostWithoutAWayDeclinesOthers(t *testing.T) {
-	f := newReliefFixture(t)
-	f.SetRelief(f.hosts())
+	f := newFailoverFixture(t)
+	f.SetFailoverHosts(f.hosts())
 	a := f.Answer(context.Background(), &relay.Request{ID: "q", Host: "h", Path: "/any/x", Origin: "h09"})
 	require.True(t, a.Declined)
 	require.True(t, a.Fault.NotRun())
@@ -137,41 +137,41 @@
 	require.Equal(t, 202, f.request("/any/x").Status)
 }
 
-// TestRequestsCaughtByTheLossAreRelieved guards against requests that waited when the way was lost being failed, and against one that may not be repeated being sent again though it may have run.
-func TestRequestsCaughtByTheLossAreRelieved(t *testing.T) {
+// TestRequestsCaughtByTheLossFailOver guards against requests that waited when the way was lost being failed, and against one that may not be repeated being sent again though it may have run.
+func TestRequestsCaughtByTheLossFailOver(t *testing.T) {
 	ran, notRun := fault.New(fault.NoReplica, "no way"), fault.New(fault.NoReplica, "no way")
 	ran.Ran = true
 	for _, tc := range []struct {
 		name, path string
 		own        *relay.Answer
-		relieved   bool
+		failedOver bool
 	}{
-		{name: "idempotent, may have run", path: "/any/x", own: &relay.Answer{Fault: ran, PathLost: true}, relieved: true},
+		{name: "idempotent, may have run", path: "/any/x", own: &relay.Answer{Fault: ran, PathLost: true}, failedOver: true},
 		{name: "idempotent, all attempts used", path: "/any/x", own: &relay.Answer{Fault: ran, PathLost: true, AttemptsUsed: 2}},
 		{name: "idempotent, other failure", path: "/any/x", own: &relay.Answer{Fault: ran}},
 		{name: "not idempotent, may have run", path: "/once/x", own: &relay.Answer{Fault: ran, PathLost: true}},
-		{name: "not idempotent, has not run", path: "/once/x", own: &relay.Answer{Fault: notRun, PathLost: true}, relieved: true},
+		{name: "not idempotent, has not run", path: "/once/x", own: &relay.Answer{Fault: notRun, PathLost: true}, failedOver: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			f := newReliefFixture(t)
+			f := newFailoverFixture(t)
 			f.answers["h01"] = &relay.Answer{Status: 201}
 			f.AnswerLocally = func(context.Context, *relay.Request) *relay.Answer {
-				f.SetRelief(f.hosts())
+				f.SetFailoverHosts(f.hosts())
 				return tc.own
 			}
 			a := f.request(tc.path)
-			require.Equal(t, tc.relieved, a.Status == 201)
-			if !tc.relieved {
+			require.Equal(t, tc.failedOver, a.Status == 201)
+			if !tc.failedOver {
 				require.Equal(t, tc.own, a)
 			}
 		})
 	}
 }
 
-// TestLostReliefIsNotRepeated guards against a request that may not be repeated running at two hosts because the first one's answer was lost.
-func TestLostReliefIsNotRepeated(t *testing.T) {
-	f := newReliefFixture(t)
-	f.SetRelief(f.hosts())
+// TestLostFailoverIsNotRepeated guards against a request that may not be repeated running at two hosts because the first one's answer was lost.
+func TestLostFailoverIsNotRepeated(t *testing.T) {
+	f := newFailoverFixture(t)
+	f.SetFailoverHosts(f.hosts())
 	f.errs["h01"] = &pool.Error{Sent: true, Err: errors.New("reset")}
 	a := f.request("/once/x")
 	require.Equal(t, fault.Unknown, a.Fault.Kind)
--- a/front/front.go
+++ b/front/front.go
@@ -349,7 +349,7 @@
 		}
 	}
 	scope.Gauge("store_reachable").Update(gaugeValue(!f.follow.StoreUnreachable()))
-	f.meter.Scope.SubScope("front").Gauge("path_lost").Update(gaugeValue(f.coord.NeedsRelief()))
+	f.meter.Scope.SubScope("front").Gauge("path_lost").Update(gaugeValue(f.coord.FailingOver()))
 	f.meter.Scope.SubScope("front").Gauge("cut_off").Update(gaugeValue(f.cutOff.Load()))
 	scope.Gauge("targets").Update(float64(len(view.Entries)))
 	scope.Gauge("targets_draining").Update(draining)
--- a/front/path.go
+++ b/front/path.go
@@ -19,12 +19,12 @@
 	pathSample = poison.MaxChecked
 	// minReached is the number of these that another host must reach to answer this one's requests.
 	minReached = 2
-	// pathWitnesses is the number of other hosts that are asked whether they reach these targets.
-	pathWitnesses = 5
+	// pathCheckPeers is the number of other hosts that are asked whether they reach these targets.
+	pathCheckPeers = 5
 	// pathCheckPeriod is the time between two checks while the way is lost, and the least time between two suspicions that are checked.
 	pathCheckPeriod = 250 * time.Millisecond
-	// witnessPeriod is the time between two questions to other hosts while the way is lost.
-	witnessPeriod = 2 * time.Second
+	// peerCheckPeriod is the time between two questions to other hosts while the way is lost.
+	peerCheckPeriod = 2 * time.Second
 )
 
 // watchPath has other hosts answer this host's requests while it has no way to the targets and they have, until the context ends.
@@ -35,14 +35,14 @@
 		case <-ctx.Done():
 			return nil
 		}
-		if relief := f.findRelief(ctx); len(relief) > 0 {
-			f.log.Warn("host has lost its way to the targets, other hosts answer its requests", zap.Int("hosts", len(relief)))
-			f.coord.SetRelief(relief)
+		if hosts := f.findFailoverHosts(ctx); len(hosts) > 0 {
+			f.log.Warn("host has lost its way to the targets, other hosts answer its requests", zap.Int("hosts", len(hosts)))
+			f.coord.SetFailoverHosts(hosts)
 			f.engine.SetPathLost(true)
 			f.closeTargetConnections()
 			f.awaitPath(ctx)
 			f.engine.SetPathLost(false)
-			f.coord.SetRelief(nil)
+			f.coord.SetFailoverHosts(nil)
 			f.log.Info("host has a way to the targets again")
 		}
 		if f.clock.Sleep(ctx, pathCheckPeriod) != nil {
@@ -55,33 +55,33 @@
 func (f *Front) awaitPath(ctx context.Context) {
 	asked := f.clock.Now()
 	for f.clock.Sleep(ctx, pathCheckPeriod) == nil {
-		if countReached(f.reachAll(ctx, f.sampleTargets())) == 0 && f.clock.Since(asked) < witnessPeriod {
+		if countReached(f.reachAll(ctx, f.sampleTargets())) == 0 && f.clock.Since(asked) < peerCheckPeriod {
 			continue
 		}
 		asked = f.clock.Now()
-		own, best, relief := f.comparePaths(ctx)
+		own, best, hosts := f.comparePaths(ctx)
 		if own > 0 && 2*own >= best {
 			return
 		}
-		if len(relief) > 0 {
-			f.coord.SetRelief(relief)
+		if len(hosts) > 0 {
+			f.coord.SetFailoverHosts(hosts)
 		}
 	}
 }
 
-// findRelief returns the hosts that reach targets which this one doesn't, none if this host reaches at least half as many as any other.
-func (f *Front) findRelief(ctx context.Context) []coord.Member {
-	own, best, relief := f.comparePaths(ctx)
+// findFailoverHosts returns the hosts that reach targets which this one doesn't, none if this host reaches at least half as many as any other.
+func (f *Front) findFailoverHosts(ctx context.Context) []coord.Member {
+	own, best, hosts := f.comparePaths(ctx)
 	if 2*own >= best || best < minReached {
 		return nil
 	}
-	return relief
+	return hosts
 }
 
 // comparePaths connects to a sample of the targets from here and from other hosts. It returns the number that this host reached, the greatest number that another one did, and the hosts that reached at least half of that and more than this host.
-func (f *Front) comparePaths(ctx context.Context) (own, best int, relief []coord.Member) {
+func (f *Front) comparePaths(ctx context.Context) (own, best int, hosts []coord.Member) {
 	sample := f.sampleTargets()
-	witnesses := f.coord.Witnesses(pathWitnesses)
+	peers := f.coord.CheckPeers(pathCheckPeers)
 	if len(sample) == 0 {
 		return 0, 0, nil
 	}
@@ -89,23 +89,23 @@
 	for _, t := range sample {
 		request.Targets = append(request.Targets, t.Process())
 	}
-	reached := make([]int, len(witnesses))
+	reached := make([]int, len(peers))
 	var checks sync.WaitGroup
 	checks.Go(func() { own = countReached(f.reachAll(ctx, sample)) })
-	for i, m := range witnesses {
-		checks.Go(func() { reached[i] = countReached(f.askWitness(ctx, m, request)) })
+	for i, m := range peers {
+		checks.Go(func() { reached[i] = countReached(f.askPeerToCheck(ctx, m, request)) })
 	}
 	checks.Wait()
 	for _, n := range reached {
 		best = max(best, n)
 	}
-	for i, m := range witnesses {
+	for i, m := range peers {
 		if reached[i] > own && 2*reached[i] >= best {
-			relief = append(relief, m)
+			hosts = append(hosts, m)
 		}
 	}
-	f.log.Info("compared with what other hosts reach", zap.Int("reached", own), zap.Int("reached_by_others", best), zap.Int("of", len(sample)), zap.Int("hosts_that_reach_more", len(relief)), zap.Int("hosts_asked", len(witnesses)))
-	return own, best, relief
+	f.log.Info("compared with what other hosts reach", zap.Int("reached", own), zap.Int("reached_by_others", best), zap.Int("of", len(sample)), zap.Int("hosts_that_reach_more", len(hosts)), zap.Int("hosts_asked", len(peers)))
+	return own, best, hosts
 }
 
 // countReached returns the number of targets that were reached.
--- a/front/poison.go
+++ b/front/poison.go
@@ -18,10 +18,10 @@
 const (
 	// targetCheckTimeout limits a connection to a target that is checked: a round trip between regions and a busy processor.
 	targetCheckTimeout = 100 * time.Millisecond
-	// maxWitnesses is the number of other hosts that are asked whether they reach targets. Some may have no way to the targets themselves.
-	maxWitnesses = 5
-	// enoughWitnesses is the number of these whose results suffice.
-	enoughWitnesses = 2
+	// maxCheckPeers is the number of other hosts that are asked whether they reach targets. Some may have no way to the targets themselves.
+	maxCheckPeers = 5
+	// enoughCheckPeers is the number of these whose results suffice.
+	enoughCheckPeers = 2
 	// maxReplyAge is the time since the last reply of any target up to which this host certainly has a way to targets.
 	maxReplyAge = 100 * time.Millisecond
 	// maxTold is the number of hosts that are told of a change at once. They tell others in turn.
@@ -40,12 +40,12 @@
 	for _, t := range targets {
 		request.Targets = append(request.Targets, t.Process())
 	}
-	witnesses := f.coord.Witnesses(maxWitnesses)
+	peers := f.coord.CheckPeers(maxCheckPeers)
 	var own []poison.Reachability
 	var others [][]poison.Reachability
 	var checks sync.WaitGroup
 	checks.Go(func() { own = f.reachAll(ctx, targets) })
-	checks.Go(func() { others = f.askWitnesses(ctx, witnesses, request) })
+	checks.Go(func() { others = f.askPeersToCheck(ctx, peers, request) })
 	checks.Wait()
 	var ended []*roster.Entry
 	for i, t := range targets {
@@ -62,29 +62,29 @@
 	return ended
 }
 
-// askWitnesses has other hosts connect to targets and returns the results of the first enoughWitnesses that can tell, or of those that answer in time. It doesn't wait for hosts that are slow or gone.
-func (f *Front) askWitnesses(ctx context.Context, witnesses []coord.Member, request poison.CheckRequest) [][]poison.Reachability {
+// askPeersToCheck has other hosts connect to targets and returns the results of the first enoughCheckPeers that can tell, or of those that answer in time. It doesn't wait for hosts that are slow or gone.
+func (f *Front) askPeersToCheck(ctx context.Context, peers []coord.Member, request poison.CheckRequest) [][]poison.Reachability {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	replies := make(chan []poison.Reachability, len(witnesses))
-	for _, m := range witnesses {
-		go func() { replies <- f.askWitness(ctx, m, request) }()
+	replies := make(chan []poison.Reachability, len(peers))
+	for _, m := range peers {
+		go func() { replies <- f.askPeerToCheck(ctx, m, request) }()
 	}
 	var informed [][]poison.Reachability
-	for range witnesses {
+	for range peers {
 		results := <-replies
 		if slices.ContainsFunc(results, func(r poison.Reachability) bool { return r != poison.Unknown }) {
 			informed = append(informed, results)
 		}
-		if len(informed) == enoughWitnesses {
+		if len(informed) == enoughCheckPeers {
 			break
 		}
 	}
 	return informed
 }
 
-// askWitness has another host connect to targets and returns the results, nil if it gives none in time.
-func (f *Front) askWitness(ctx context.Context, m coord.Member, request poison.CheckRequest) []poison.Reachability {
+// askPeerToCheck has another host connect to targets and returns the results, nil if it gives none in time.
+func (f *Front) askPeerToCheck(ctx context.Context, m coord.Member, request poison.CheckRequest) []poison.Reachability {
 	ctx, cancel := f.clock.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var reply poison.CheckReply
@@ -103,7 +103,7 @@
 func (f *Front) checkTargets(processes []roster.Process) []poison.Reachability {
 	view := f.follow.View()
 	results := make([]poison.Reachability, len(processes))
-	if f.coord.NeedsRelief() {
+	if f.coord.FailingOver() {
 		// What this host finds says nothing about the targets.
 		return results
 	}
@@ -152,7 +152,7 @@
 			f.tellPoison(ctx, f.coord.Recipients(maxTold), f.poison.TakeChanged())
 		case <-remind.C:
 			if !f.poison.Empty() {
-				f.tellPoison(ctx, f.coord.Witnesses(1), f.poison.Records())
+				f.tellPoison(ctx, f.coord.CheckPeers(1), f.poison.Records())
 			}
 		case <-ctx.Done():
 			return nil
@@ -198,10 +198,10 @@
 func (f *Front) readPoison(ctx context.Context) (complete bool) {
 	ctx, cancel := f.clock.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	witnesses := f.coord.Witnesses(maxWitnesses)
-	replies := make([]poison.Records, len(witnesses))
+	peers := f.coord.CheckPeers(maxCheckPeers)
+	replies := make([]poison.Records, len(peers))
 	var calls sync.WaitGroup
-	for i, m := range witnesses {
+	for i, m := range peers {
 		calls.Go(func() {
 			if err := f.dialer.Call(ctx, m.Views, poison.ServiceName+".List", true, &replies[i]); err != nil {
 				f.log.Debug("host can't list requests that end targets", zap.String("from", m.Name), zap.Error(err))
--- a/meter/names.go
+++ b/meter/names.go
@@ -34,7 +34,7 @@
 	{Name: "poison_cleared", Kind: Counter, Help: "requests that are no suspects any more because a target has answered them"},
 	{Name: "poison_suspects", Kind: Gauge, Help: "requests under which targets have ended and that are tried at one target at a time"},
 	{Name: "poison_quarantined", Kind: Gauge, Help: "requests whose copies are refused"},
-	{Name: "coord_relieved", Kind: Counter, Help: "requests that another host answered because this one had no way to the targets"},
+	{Name: "coord_failed_over", Kind: Counter, Help: "requests that another host answered because this one had no way to the targets"},
 	{Name: "front_path_lost", Kind: Gauge, Help: "1 while this host has no way to the targets and other hosts answer its requests"},
 	{Name: "relay_leaving_sends", Kind: Counter, Labels: "origin", Help: "sub-requests sent to a target that this host knew to be draining or gone, by who said so: the store, the target, or another host"},
 	{Name: "relay_leaving_targets", Kind: Counter, Labels: "origin", Help: "targets that have said that they leave, by who told this host: the target or another host"},
--- a/poison/exchange.go
+++ b/poison/exchange.go
@@ -115,7 +115,7 @@
 		r.quarantine(record.Digest, e, record.Quarantines, from, now.Add(record.Remaining), "host")
 		learned = true
 	}
-	if endedAt, tried := e.latestCrash(); len(e.crashes) > 0 && r.acquits(record.Digest, endedAt, tried || e.quarantines > 0, now) {
+	if endedAt, tried := e.latestCrash(); len(e.crashes) > 0 && r.clearedByAnswer(record.Digest, endedAt, tried || e.quarantines > 0, now) {
 		r.clear(record.Digest, e, now)
 		r.noteChange(e)
 		return
--- a/poison/registry.go
+++ b/poison/registry.go
@@ -188,8 +188,8 @@
 	r.answered.add(d, r.clock.Now())
 }
 
-// acquits reports whether an answer speaks for a request under which targets ended at a time: one from after that, or, unless the request was tried at them alone, one from shortly before. The latter counts once.
-func (r *Registry) acquits(d Digest, endedAt time.Time, tried bool, now time.Time) bool {
+// clearedByAnswer reports whether an answer speaks for a request under which targets ended at a time: one from after that, or, unless the request was tried at them alone, one from shortly before. The latter counts once.
+func (r *Registry) clearedByAnswer(d Digest, endedAt time.Time, tried bool, now time.Time) bool {
 	answeredAt := r.answered.last(d, now)
 	if answeredAt.After(endedAt) {
 		return true
@@ -206,7 +206,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	if r.acquits(d, now, len(trials) > 0, now) {
+	if r.clearedByAnswer(d, now, len(trials) > 0, now) {
 		r.log.Info("targets have ended under a request that others have answered", zap.Stringer("content", d), zap.Int("targets", len(targets)))
 		return Harmless
 	}
@@ -266,12 +266,12 @@
 }
 
 // dropExplained removes the crashes of a quarantined request from all others: these only shared targets with it. The caller must hold r.mu.
-func (r *Registry) dropExplained(d Digest, culprit *entry) {
+func (r *Registry) dropExplained(d Digest, quarantined *entry) {
 	for other, e := range r.entries {
 		if other == d || e.quarantines > 0 {
 			continue
 		}
-		e.crashes = slices.DeleteFunc(e.crashes, func(c crash) bool { return culprit.hasCrash(c.target) })
+		e.crashes = slices.DeleteFunc(e.crashes, func(c crash) bool { return quarantined.hasCrash(c.target) })
 	}
 }
 
--- a/relay/endings.go
+++ b/relay/crash_tracker.go
@@ -9,19 +9,19 @@
 )
 
 const (
-	// severalEndings is the number of targets that must have ended within endingsWindow for queries to be tried at one target first: some request may be what ends them, and its copies aren't known yet.
-	severalEndings = 3
-	endingsWindow  = 250 * time.Millisecond
-	// endingsMemory is how long the end of a target is remembered, so that later refusals of its machine don't count as new ends.
-	endingsMemory = 10 * time.Second
+	// minRecentCrashes is the number of targets that must have ended within recentCrashWindow for queries to be tried at one target first: some request may be what ends them, and its copies aren't known yet.
+	minRecentCrashes  = 3
+	recentCrashWindow = 250 * time.Millisecond
+	// crashRetention is how long the end of a target is remembered, so that later refusals of its machine don't count as new ends.
+	crashRetention = 10 * time.Second
 )
 
 func keyOf(p roster.Process) processKey {
 	return processKey{id: p.ID, born: p.Born.UnixMilli()}
 }
 
-// recentEndings records the targets to which connections have ended or are refused.
-type recentEndings struct {
+// crashTracker records the targets to which connections have ended or are refused.
+type crashTracker struct {
 	mu sync.Mutex
 	// first holds the time of the first sign for each process of a target.
 	first map[processKey]time.Time
@@ -34,7 +34,7 @@
 }
 
 // record notes that a connection to a target has ended or was refused.
-func (r *recentEndings) record(p roster.Process, now time.Time) {
+func (r *crashTracker) record(p roster.Process, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := keyOf(p)
@@ -44,30 +44,30 @@
 	if r.first == nil {
 		r.first = map[processKey]time.Time{}
 	}
-	maps.DeleteFunc(r.first, func(_ processKey, at time.Time) bool { return now.Sub(at) > endingsMemory })
+	maps.DeleteFunc(r.first, func(_ processKey, at time.Time) bool { return now.Sub(at) > crashRetention })
 	r.first[key] = now
 }
 
 // has reports whether a connection to a target has ended or was refused lately.
-func (r *recentEndings) has(p roster.Process, now time.Time) bool {
+func (r *crashTracker) has(p roster.Process, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at, found := r.first[keyOf(p)]
-	return found && now.Sub(at) <= endingsMemory
+	return found && now.Sub(at) <= crashRetention
 }
 
 // several reports whether several targets have ended just now.
-func (r *recentEndings) several(now time.Time) bool {
+func (r *crashTracker) several(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.first) < severalEndings {
+	if len(r.first) < minRecentCrashes {
 		return false
 	}
 	n := 0
 	for _, at := range r.first {
-		if now.Sub(at) <= endingsWindow {
+		if now.Sub(at) <= recentCrashWindow {
 			n++
 		}
 	}
-	return n >= severalEndings
+	return n >= minRecentCrashes
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -71,7 +71,7 @@
 	rates                rateLimiter
 	unresponsiveRefusals chan struct{}
 	poison               PoisonControl
-	endings              recentEndings
+	crashes              crashTracker
 	reach                *reachTracker
 	log                  *zap.Logger
 	scope                tally.Scope
@@ -131,7 +131,7 @@
 		return e.refuse(r, matched, f)
 	}
 	q := e.newQuery(ctx, r, config, matched, start)
-	q.cautious = matched.Fanout() && e.endings.several(start)
+	q.cautious = matched.Fanout() && e.crashes.several(start)
 	if suspect {
 		q.suspect, q.crashed = true, e.poison.Registry.Crashed(r.Digest())
 	}
--- a/relay/query.go
+++ b/relay/query.go
@@ -390,7 +390,7 @@
 			sub.part.reached--
 		}
 		if poolErr.BrokenOff || errors.Is(r.err, syscall.ECONNREFUSED) {
-			q.engine.endings.record(sub.target.Process(), q.engine.clock.Now())
+			q.engine.crashes.record(sub.target.Process(), q.engine.clock.Now())
 		}
 		q.lastCause = sub.target.ID + ": " + poolErr.Error()
 		if errors.Is(r.err, pool.ErrResponseTooLong) {
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -121,7 +121,7 @@
 	e := q.engine
 	left := 0
 	for _, t := range e.usableTargets(p.service, now) {
-		ended := e.endings.has(t.Process(), now) || slices.ContainsFunc(q.crashed, t.Process().Equal)
+		ended := e.crashes.has(t.Process(), now) || slices.ContainsFunc(q.crashed, t.Process().Equal)
 		if !ended && q.route.Allows(t.Region) && !e.state.DatacentreOut(t.Datacentre) && !e.estimatorOf(t).Unresponsive(now) {
 			left++
 		}
--- a/soak/relief_test.go
+++ b/soak/failover_test.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// reliefBound is the time after which a host that has lost its way to the targets must serve its callers through others.
-	reliefBound = 2 * time.Second
+	// failoverBound is the time after which a host that has lost its way to the targets must serve its callers through others.
+	failoverBound = 2 * time.Second
 	// lostFor is how long hosts have no way to the targets.
 	lostFor = 6 * time.Second
 )
@@ -67,7 +67,7 @@
 			for _, x := range exchanges {
 				require.LessOrEqual(t, len(w.requestLog.Runs(x.id)), map[bool]int{true: 1, false: 2 * shards}[x.path == "/once/x"], "%s %s ran too often", x.id, x.path)
 				w.checkExchangeIsTrue(t, x)
-				if x.start.Before(began.Add(reliefBound)) || x.start.After(ended) {
+				if x.start.Before(began.Add(failoverBound)) || x.start.After(ended) {
 					continue
 				}
 				atLost := slices.Contains(lost, x.host)
