poison: hosts with different crashes of a request don't tell each other without end

A request ended 39 targets and a record holds 16 crashes. A crash that another host reported replaced the oldest one, counted as news and was told on, so that hosts with different ones exchanged them for ever.

Reported crashes no longer replace any; those that a host records itself do, because they decide about the next quarantine, and the quarantine is told apart. TestManyCrashesAreToldOnce fails without; its hosts tell each other at the same time.

--- a/poison/registry.go
+++ b/poison/registry.go
@@ -211,6 +211,10 @@
 		return Harmless
 	}
 	e := r.entryOf(d, now)
+	if len(e.crashes) == maxCrashes && e.state(now) != Quarantined {
+		// The new ones decide about the next quarantine. Those that other hosts report replace none, or hosts with different ones would tell each other for ever.
+		e.crashes = slices.Clone(e.crashes[min(len(targets), maxCrashes):])
+	}
 	added := false
 	for _, p := range targets {
 		trial := slices.ContainsFunc(trials, p.Equal)
@@ -236,7 +240,7 @@
 		}
 	}
 	if len(e.crashes) == maxCrashes {
-		e.crashes = e.crashes[1:]
+		return false
 	}
 	e.crashes = append(e.crashes, c)
 	return true
--- a/poison/registry_test.go
+++ b/poison/registry_test.go
@@ -28,23 +28,30 @@
 	return h
 }
 
-// exchange tells all hosts what each has changed, until no host has anything new, and returns the number of rounds.
+// maxRounds bounds the rounds of an exchange that doesn't end.
+const maxRounds = 100
+
+// exchange tells all hosts at the same time what each has changed, until no host has anything new, and returns the number of rounds.
 func (h *hosts) exchange() int {
-	for round := 0; ; round++ {
+	for round := range maxRounds {
 		changed := false
+		told := make([][]Record, len(h.registries))
 		for i, r := range h.registries {
-			records := r.TakeChanged()
-			changed = changed || len(records) > 0
+			told[i] = r.TakeChanged()
+			changed = changed || len(told[i]) > 0
+		}
+		if !changed {
+			return round
+		}
+		for i, records := range told {
 			for k, other := range h.registries {
 				if k != i {
 					other.Learn(records)
 				}
 			}
 		}
-		if !changed {
-			return round
-		}
 	}
+	return maxRounds
 }
 
 // states returns the state of a request at each host.
@@ -239,3 +246,21 @@
 	r.RecordCrashes(digest(5*maxAnswered-1), targets("a"), nil)
 	require.Equal(t, Harmless, r.State(digest(5*maxAnswered-1)))
 }
+
+// TestManyCrashesAreToldOnce guards against hosts that have recorded different crashes of one request telling each other without end.
+func TestManyCrashesAreToldOnce(t *testing.T) {
+	h := newHosts(4)
+	for i, r := range h.registries {
+		var ids []string
+		for n := range 2 * maxCrashes {
+			ids = append(ids, fmt.Sprint(i, "/", n))
+		}
+		r.RecordCrashes(digest(1), targets(ids...), targets(ids[0]))
+	}
+	require.LessOrEqual(t, h.exchange(), 3)
+	h.clock.Advance(2 * firstQuarantine)
+	require.Equal(t, Suspect, h.registries[1].State(digest(1)))
+	require.Equal(t, Quarantined, h.registries[1].RecordCrashes(digest(1), targets("next"), targets("next")))
+	require.LessOrEqual(t, h.exchange(), 3)
+	require.Equal(t, []State{Quarantined, Quarantined, Quarantined, Quarantined}, h.states(digest(1)))
+}
