soak, mock: the port of a refusing proxy isn't taken by an outgoing connection

A proxy that refuses connections closes its listener; its port lay in the ephemeral range, and an outgoing connection took it before the way was given back. The proxies of hosts' ways now use the ports below that range, as the hosts do. No check changes.

--- a/mock/proxy.go
+++ b/mock/proxy.go
@@ -25,7 +25,12 @@
 
 // NewProxy starts a proxy on a free loopback port that forwards connections to the address to.
 func NewProxy(to netip.AddrPort) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewProxyAt(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0), to)
+}
+
+// NewProxyAt starts a proxy at an address that forwards connections to the address to. A proxy that refuses connections for a time needs a port that no outgoing connection takes meanwhile.
+func NewProxyAt(at, to netip.AddrPort) (*Proxy, error) {
+	l, err := net.Listen("tcp", at.String())
 	if err != nil {
 		return nil, err
 	}
--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -81,7 +81,7 @@
 	proxy := p.proxies[address]
 	if proxy == nil {
 		var err error
-		if proxy, err = mock.NewProxy(address); err != nil {
+		if proxy, err = mock.NewProxyAt(freePort(p.t), address); err != nil {
 			return netip.AddrPort{}, err
 		}
 		p.proxies[address] = proxy
