--- a/review/_fleet2/denied.go
+++ b/review/_fleet2/denied.go
@@ -51,7 +51,7 @@
 		}
 		for _, t := range targets {
 			t.crash()
-			time.Sleep(70 * time.Millisecond)
+			time.Sleep(35 * time.Millisecond)
 		}
 		time.Sleep(3500 * time.Millisecond)
 		for _, t := range targets {
--- a/review/_fleet2/fleet.go
+++ b/review/_fleet2/fleet.go
@@ -78,7 +78,7 @@
 	for _, p := range places {
 		for i := range p.hosts {
 			n++
-			if err := f.addHost(fmt.Sprintf("front-%s-%d", p.datacentre, i+1), fmt.Sprintf("127.0.7.%d", n), p); err != nil {
+			if err := f.addHost(fmt.Sprintf("front-%s-%d", p.datacentre, i+1), hostIP(n), p); err != nil {
 				return nil, err
 			}
 		}
@@ -86,6 +86,12 @@
 	return f, nil
 }
 
+// hostIP returns a loopback address of this run's own for a host, since all hosts have the same metrics port by default.
+func hostIP(n int) string {
+	run := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+run/250%250, 1+run%250, n)
+}
+
 // freePort returns a port that nothing listens at.
 func freePort(ip string) (int, error) {
 	l, err := net.Listen("tcp", ip+":0")
