--- a/review/_fleet2/cold.go
+++ b/review/_fleet2/cold.go
@@ -10,14 +10,22 @@
 
 func init() { cases["cold"] = playCold }
 
+// Bounds of cold targets: the rate that the configuration states, and coldOvershoot and coldSlack of the settings.
+const (
+	coldPerS  = 8.0
+	overshoot = 1.5
+	coldSlack = 5.0
+	coldTime  = 3 * time.Second
+)
+
+// coldPeriod is a time in which a target is cold.
+type coldPeriod struct {
+	target   string
+	from, to time.Time
+}
+
 // playCold has targets of one service become cold one after the other and say so in their entries. It checks FAILBACK.
 func playCold(f *fleet, trouble bool) (verdict, error) {
-	const (
-		coldPerS  = 8.0
-		overshoot = 1.5
-		slack     = 5.0
-		coldTime  = 3 * time.Second
-	)
 	log := newRunLog()
 	var targets []*target
 	for i := range 6 {
@@ -38,11 +46,7 @@
 	sent := map[string]time.Time{}
 	statuses := map[int]int{}
 	n := 0
-	type period struct {
-		target   string
-		from, to time.Time
-	}
-	var periods []period
+	var periods []coldPeriod
 	go func() {
 		time.Sleep(5 * time.Second)
 		f.say("targets become cold: %v", trouble)
@@ -53,7 +57,7 @@
 					t.becomeCold(coldTime)
 					f.printf("%s is cold", t.id)
 					mu.Lock()
-					periods = append(periods, period{target: t.id, from: now, to: now.Add(coldTime)})
+					periods = append(periods, coldPeriod{target: t.id, from: now, to: now.Add(coldTime)})
 					mu.Unlock()
 				}
 				time.Sleep(350 * time.Millisecond)
@@ -72,7 +76,13 @@
 		sent[o.id] = o.sentAt
 		statuses[o.status]++
 	})
-	allowed := coldPerS*overshoot + slack
+	f.say("%d requests, statuses %v", n, statuses)
+	return f.checkCold(log, periods, sent), nil
+}
+
+// checkCold checks FAILBACK: the most requests that were sent and arrived in one second of each cold period.
+func (f *fleet) checkCold(log *runLog, periods []coldPeriod, sent map[string]time.Time) verdict {
+	allowed := coldPerS*overshoot + coldSlack
 	worst, over := 0, 0
 	for _, p := range periods {
 		var at []time.Time
@@ -96,9 +106,9 @@
 			over++
 		}
 	}
-	f.say("%d requests, statuses %v; %d of %d cold periods were over the bound, the worst had %d requests in a second", n, statuses, over, len(periods), worst)
+	f.say("%d of %d cold periods were over the bound, the worst had %d requests in a second", over, len(periods), worst)
 	if over > 0 {
-		return broken, nil
+		return broken
 	}
-	return held, nil
+	return held
 }
