--- a/review/_fleet2/cold.go
+++ b/review/_fleet2/cold.go
@@ -65,7 +65,7 @@
 			time.Sleep(4 * time.Second)
 		}
 	}()
-	every(160, time.Now().Add(25*time.Second), func() {
+	every(112, time.Now().Add(25*time.Second), func() {
 		mu.Lock()
 		n++
 		path := fmt.Sprintf("/lade/%d", n)
--- a/review/_fleet2/midanswer.go
+++ b/review/_fleet2/midanswer.go
@@ -48,14 +48,16 @@
 	c := newCaller(f)
 	var mu sync.Mutex
 	var copies []outcome
-	until := time.Now().Add(25 * time.Second)
+	// The deadly request is 0.03 of all requests and comes for 20 s.
+	const perSecond, share, comesFor = 22.5, 0.03, 20 * time.Second
+	until := time.Now().Add(comesFor + 2*time.Second)
 	var others sync.WaitGroup
 	others.Add(1)
 	served, lost := 0, 0
 	go func() {
 		defer others.Done()
 		n := 0
-		every(15, until, func() {
+		every(perSecond*(1-share), until, func() {
 			mu.Lock()
 			n++
 			path := fmt.Sprintf("/lade/%d", 1000+n)
@@ -72,7 +74,7 @@
 	}()
 	time.Sleep(time.Second)
 	f.say("the deadly request begins to come: %v", trouble)
-	every(2, until, func() {
+	every(perSecond*share, time.Now().Add(comesFor), func() {
 		o := c.send(c.anyHost(), http.MethodGet, deadly, "", 2500*time.Millisecond)
 		mu.Lock()
 		defer mu.Unlock()
