pool, strict: malformed responses of targets and other hosts are no answers

What callers saw: a target's response with a blank inside or at the end of a field name was passed on as an answer. With "Content-Length : 5" as the only length its body was all bytes up to the end of the connection. Statuses 600 to 999 were passed on, those below 100 failed without a cause.

Cause: net/http accepts spaces in field names, statuses from 000 to 999 and +20, folded lines and the transfer encoding of HTTP/1.0 responses, and nothing else looked at a head.

Why this fix works: package strict checks each byte of a response as it is received, follows the framing, and fails the read before net/http sees a byte of it, so that header, interim heads, chunks and trailers are checked alike, and nothing of such a response is used. The connection is closed; the request counts as one that may have run, and not as a target that ended.

--- a/mock/cutter.go
+++ b/mock/cutter.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 )
 
@@ -26,6 +28,10 @@
 	// Whole makes all answers whole, whatever the requests ask for.
 	Whole    atomic.Bool
 	listener net.Listener
+
+	mu sync.Mutex
+	// sent holds the answers that were sent on each connection.
+	sent map[net.Conn][]string
 }
 
 // NewCutter starts a Cutter at a free port.
@@ -37,6 +43,7 @@
 	c := &Cutter{
 		Address:  l.Addr().(*net.TCPAddr).AddrPort(),
 		listener: l,
+		sent:     map[net.Conn][]string{},
 	}
 	go c.accept()
 	return c, nil
@@ -65,6 +72,9 @@
 		// What can't be read is missing at the next request too.
 		_, _ = io.Copy(io.Discard, r.Body)
 		answer := *c.Answer.Load()
+		c.mu.Lock()
+		c.sent[n] = append(c.sent[n], answer)
+		c.mu.Unlock()
 		after, err := strconv.Atoi(r.Header.Get(HeaderCutAfter))
 		whole := err != nil || after > len(answer) || c.Whole.Load()
 		if whole {
@@ -84,6 +94,18 @@
 	}
 }
 
+// IsFollowed reports whether any request arrived on a connection after an answer was sent on it.
+func (c *Cutter) IsFollowed(answer string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, answers := range c.sent {
+		if i := slices.Index(answers, answer); i >= 0 && i < len(answers)-1 {
+			return true
+		}
+	}
+	return false
+}
+
 // Close stops accepting connections.
 func (c *Cutter) Close() {
 	c.listener.Close()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"kingcupcross/strict"
 	"kingcupcross/timer"
 )
 
@@ -108,9 +109,10 @@
 // conn is a connection to a target or host. It is used by one request at a time.
 type conn struct {
 	net.Conn
-	// limit fails reads beyond the response's bounds. reader buffers what is read from it.
-	limit  *limitedReader
-	reader *bufio.Reader
+	// limit fails reads beyond the response's bounds, responses fails malformed ones. reader buffers what is read from them.
+	limit     *limitedReader
+	responses *strict.Reader
+	reader    *bufio.Reader
 	// expires is the time after which the connection must not be used.
 	expires time.Time
 }
@@ -192,6 +194,7 @@
 
 // roundTrip writes the request and reads responses until one matches it.
 func (p *Pool) roundTrip(c *conn, r Request) (response *Response, reusable bool, err error) {
+	c.responses.Begin(r.Method)
 	if _, err := c.Write(encodeRequest(r)); err != nil {
 		return nil, false, err
 	}
@@ -202,7 +205,7 @@
 		}
 		if r.Matches == nil || r.Matches(response.Header) {
 			// If bytes follow the complete response, the connection is out of step and can't be reused.
-			return response, reusable && c.reader.Buffered() == 0, nil
+			return response, reusable && c.reader.Buffered() == 0 && c.responses.InStep(), nil
 		}
 		p.stale.Inc(1)
 		if !reusable {
@@ -285,7 +288,13 @@
 // newConn wraps a network connection.
 func newConn(n net.Conn) *conn {
 	l := &limitedReader{source: n}
-	return &conn{Conn: n, limit: l, reader: bufio.NewReaderSize(l, bufferSize)}
+	responses := strict.NewReader(l)
+	return &conn{
+		Conn:      n,
+		limit:     l,
+		responses: responses,
+		reader:    bufio.NewReaderSize(responses, bufferSize),
+	}
 }
 
 // connect dials the address. It fails after the shorter of timeout and dialTimeout.
