relay: failures name the reply that caused them

What callers saw: a request that failed because of a target's reply, such as one with a status below 100, a 200 without a signature or a 500 of a shard, got "1 of 1 shards can't be had, 1 are needed; last: " with nothing behind it.

Cause: the last cause was set for errors of the connection only. A reply that isn't passed on by failureAnswer (its status has to be at least 300, and the route one without shards) left it as it was.

Evidence: TestFailureNamesTheLastReply failed before with that text.

Why this fix works: every reply that isn't a success is described where the result of its sub-request is recorded.

--- a/relay/query.go
+++ b/relay/query.go
@@ -403,6 +403,9 @@
 		q.lastCause = sub.target.ID + ": " + r.err.Error()
 	default:
 		notRun = r.reply.NotRun || r.reply.WrongTarget
+		if !r.reply.Success() {
+			q.lastCause = sub.target.ID + ": " + r.reply.describeFailure()
+		}
 	}
 	q.maybeRan = q.maybeRan || !notRun
 	q.reachedTargets = q.reachedTargets || poolErr == nil || poolErr.Sent
--- a/relay/single_test.go
+++ b/relay/single_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// TestFailureNamesTheLastReply guards against a caller that is told that a request failed without the target and the reply that it failed by.
+func TestFailureNamesTheLastReply(t *testing.T) {
+	for text, reply := range map[string]*Reply{
+		"one-0-0: status 200 without a signature":              {Status: 200},
+		"one-0-0: status 503, not run":                         {Status: 503, NotRun: true},
+		"one-0-0: status 421 of another target at its address": {Status: 421, WrongTarget: true},
+	} {
+		withCluster(t, func(l *testCluster) {
+			l.setSingleRoute(false, 1)
+			l.addTarget("one", 0, func() (time.Duration, *Reply, error) { return time.Millisecond, reply, nil })
+			a, _ := l.request("/one/1")
+			require.NotNil(t, a.Fault)
+			require.Contains(t, a.Fault.Text, "; last: "+text)
+		})
+	}
+}
+
 // TestNonIdempotentRequestIsNotRepeatedOnSilence checks that a request that must not be repeated waits for its silent target, and that the failure does not claim that it did not run.
 func TestNonIdempotentRequestIsNotRepeatedOnSilence(t *testing.T) {
 	withCluster(t, func(l *testCluster) {
--- a/relay/types.go
+++ b/relay/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -66,6 +67,20 @@
 	return r.Status >= 200 && r.Status < 300 && r.Signature != ""
 }
 
+// describeFailure describes a reply that isn't a success, for the text of a fault.
+func (r *Reply) describeFailure() string {
+	switch {
+	case r.WrongTarget:
+		return fmt.Sprintf("status %d of another target at its address", r.Status)
+	case r.NotRun:
+		return fmt.Sprintf("status %d, not run", r.Status)
+	case r.Status >= 200 && r.Status < 300:
+		return fmt.Sprintf("status %d without a signature", r.Status)
+	default:
+		return fmt.Sprintf("status %d", r.Status)
+	}
+}
+
 // Answer is the result of a request, for its caller or for the host that forwarded it.
 type Answer struct {
 	// Fault is a refusal or failure by this system. If it is nil, the other fields hold the answer.
