platform, store, target, cmds: malformed responses fail the clients of net/http

What callers saw: a response of the store, of a target of the product's own interface or of a host, with a blank in a field name or a malformed trailer, was taken for a list, a granted lease, a reply or an answer to a command. A malformed 4xx to a write of the store counted as a statement that the write had no effect.

Cause: the same trust in net/http as in the pool. Connections that brought such a response were kept.

Why this fix works: strict.Dial wraps the connection itself, so the transport gets an error instead of the response and can't keep the connection. The target client's notice of a closed connection lies below the check, so that a malformed response doesn't count as the end of the target.

--- a/cmds/callers.go
+++ b/cmds/callers.go
@@ -16,6 +16,7 @@
 
 	"kingcupcross/apiv1"
 	"kingcupcross/fault"
+	"kingcupcross/strict"
 	"kingcupcross/units"
 )
 
@@ -28,11 +29,21 @@
 	JSON bool           `help:"Print JSON."`
 }
 
-// post sends one request to the host like postJSON, with the default HTTP client and within clientTimeout.
+// newTransport returns a transport with the defaults of net/http that fails malformed responses.
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = strict.Dial(t.DialContext)
+	return t
+}
+
+// httpClient sends the requests of all commands but load.
+var httpClient = &http.Client{Transport: newTransport()}
+
+// post sends one request to the host like postJSON, with httpClient and within clientTimeout.
 func (c *Caller) post(path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
-	return postJSON(ctx, http.DefaultClient, c.Host, path, in, out)
+	return postJSON(ctx, httpClient, c.Host, path, in, out)
 }
 
 // postJSON posts a request as JSON and decodes the answer after checking its length and checksum; a refusal is returned as a fault.Error.
--- a/cmds/fleet.go
+++ b/cmds/fleet.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		return eris.Wrap(err, "build request")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return eris.Wrapf(err, "send request to host %s", a)
 	}
--- a/cmds/load.go
+++ b/cmds/load.go
@@ -18,6 +18,7 @@
 	"kingcupcross/emul"
 	"kingcupcross/fault"
 	"kingcupcross/load"
+	"kingcupcross/strict"
 	"kingcupcross/timer"
 	"kingcupcross/units"
 )
@@ -115,6 +116,7 @@
 	return &querySender{
 		command: c,
 		client: &http.Client{Transport: &http.Transport{
+			DialContext:         strict.Dial((&net.Dialer{}).DialContext),
 			MaxIdleConns:        c.Cap,
 			MaxIdleConnsPerHost: c.Cap,
 		}},
--- a/mock/broken.go
+++ b/mock/broken.go
@@ -36,11 +36,12 @@
 // ResponseBody is a body for BrokenResponses and OddResponses.
 const ResponseBody = "0123456789abcdef"
 
-// BrokenResponses returns malformed responses by what is wrong with them. Each has the given fields, each of which ends with a line break, and the body of 16 bytes. Without the malformed part it would be sound.
+// BrokenResponses returns malformed responses by what is wrong with them. Each has the given fields, each of which ends with a line break, and the body. Without the malformed part it would be sound.
 func BrokenResponses(fields, body string) map[string]string {
-	const length = "Content-Length: 16\r\n"
 	const chunked = "Transfer-Encoding: chunked\r\n"
-	chunk := "10\r\n" + body + "\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	size := fmt.Sprintf("%x", len(body))
+	chunk := size + "\r\n" + body + "\r\n"
 	head := "HTTP/1.1 200 OK\r\n" + fields
 	responses := map[string]string{
 		"space after a name, length":     head + "X-Field : x\r\n" + length + "\r\n" + body,
@@ -59,13 +60,13 @@
 		"space after a name in trailer":  head + chunked + "\r\n" + chunk + "0\r\nX-Field : x\r\n\r\n",
 		"control byte in a trailer":      head + chunked + "\r\n" + chunk + "0\r\nX-Field: \x01\r\n\r\n",
 		"folded line in a trailer":       head + chunked + "\r\n" + chunk + "0\r\nX-Field: x\r\n y: z\r\n\r\n",
-		"control byte in a chunk size":   head + chunked + "\r\n10\x01\r\n" + body + "\r\n0\r\n\r\n",
-		"space before a chunk size":      head + chunked + "\r\n 10\r\n" + body + "\r\n0\r\n\r\n",
-		"no line break after a chunk":    head + chunked + "\r\n10\r\n" + body + "xx0\r\n\r\n",
-		"control byte in an extension":   head + chunked + "\r\n10;a=\x01\r\n" + body + "\r\n0\r\n\r\n",
+		"control byte in a chunk size":   head + chunked + "\r\n" + size + "\x01\r\n" + body + "\r\n0\r\n\r\n",
+		"space before a chunk size":      head + chunked + "\r\n " + chunk + "0\r\n\r\n",
+		"no line break after a chunk":    head + chunked + "\r\n" + size + "\r\n" + body + "xx0\r\n\r\n",
+		"control byte in an extension":   head + chunked + "\r\n" + size + ";a=\x01\r\n" + body + "\r\n0\r\n\r\n",
 		"content lengths that differ":    head + length + "Content-Length: 5\r\n\r\n" + body,
-		"content length with a sign":     head + "Content-Length: +16\r\n\r\n" + body,
-		"content length that is no text": head + "Content-Length: 1\x006\r\n\r\n" + body,
+		"content length with a sign":     head + strings.Replace(length, ": ", ": +", 1) + "\r\n" + body,
+		"content length that is no text": head + strings.Replace(length, ": ", ": \x00", 1) + "\r\n" + body,
 	}
 	for name, line := range brokenLines {
 		framing := length
@@ -86,10 +87,12 @@
 	return responses
 }
 
-// OddResponses returns responses that are unusual and sound, by what is unusual about them. Each has the given fields, each of which ends with a line break, and the body of 16 bytes.
+// OddResponses returns responses that are unusual and sound, by what is unusual about them. Each has the given fields, each of which ends with a line break, and the body of more than 8 bytes.
 func OddResponses(fields, body string) map[string]string {
-	end := "Content-Length: 16\r\n\r\n" + body
 	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	end := length + "\r\n" + body
+	first, second := body[:8], body[8:]
 	head := "HTTP/1.1 200 OK\r\n" + fields
 	return map[string]string{
 		"every token byte in a name":     head + "!#$%&'*+-.^_`|~0123456789ABCXYZabcxyz: x\r\n" + end,
@@ -103,12 +106,12 @@
 		"bytes above 0x7f in the reason": "HTTP/1.1 200 d\xe9j\xe0\r\n" + fields + end,
 		"status 299":                     "HTTP/1.1 299 x\r\n" + fields + end,
 		"HTTP/1.0":                       "HTTP/1.0 200 OK\r\n" + fields + end,
-		"lines that end with LF":         strings.ReplaceAll(head+"Content-Length: 16\r\n\r\n", "\r", "") + body,
-		"lower-case content length":      head + strings.ToLower("Content-Length: 16\r\n\r\n") + body,
-		"repeated content length":        head + "Content-Length: 16\r\n" + end,
+		"lines that end with LF":         strings.ReplaceAll(head+length+"\r\n", "\r", "") + body,
+		"lower-case content length":      head + strings.ToLower(length) + "\r\n" + body,
+		"repeated content length":        head + length + end,
 		"interim heads":                  "HTTP/1.1 100\r\n\r\nHTTP/1.1 102 x\r\nX-Field: x\r\n\r\n" + head + end,
-		"chunks with extensions":         head + chunked + "8;a=b\r\n" + body[:8] + "\r\n08 \r\n" + body[8:] + "\r\n0;last\r\n\r\n",
-		"chunks with a trailer":          head + chunked + "A\r\n" + body[:10] + "\r\n6\r\n" + body[10:] + "\r\n000\r\nX-Field: \xe9\r\nX-Other:\r\n\r\n",
-		"mixed-case transfer encoding":   head + "transfer-ENCODING: Chunked\r\n\r\n10\r\n" + body + "\r\n0\r\n\r\n",
+		"chunks with extensions":         head + chunked + "8;a=b\r\n" + first + fmt.Sprintf("\r\n0%X \r\n", len(second)) + second + "\r\n0;last\r\n\r\n",
+		"chunks with a trailer":          head + chunked + "8\r\n" + first + fmt.Sprintf("\r\n%x\r\n", len(second)) + second + "\r\n000\r\nX-Field: \xe9\r\nX-Other:\r\n\r\n",
+		"mixed-case transfer encoding":   head + "transfer-ENCODING: Chunked\r\n\r\n8\r\n" + first + fmt.Sprintf("\r\n%x\r\n", len(second)) + second + "\r\n0\r\n\r\n",
 	}
 }
--- a/mock/cutter.go
+++ b/mock/cutter.go
@@ -69,6 +69,10 @@
 		if err != nil {
 			return
 		}
+		if r.Header.Get("Expect") != "" {
+			// If the write fails, so does that of the answer.
+			_, _ = io.WriteString(n, "HTTP/1.1 100 Continue\r\n\r\n")
+		}
 		// What can't be read is missing at the next request too.
 		_, _ = io.Copy(io.Discard, r.Body)
 		answer := *c.Answer.Load()
--- a/store/client.go
+++ b/store/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -16,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"kingcupcross/fault"
+	"kingcupcross/strict"
 	"kingcupcross/timer"
 )
 
@@ -40,11 +42,12 @@
 
 // New returns a client for the store at address.
 func New(clock *timer.Clock, address netip.AddrPort) *Client {
+	dial := strict.Dial((&net.Dialer{}).DialContext)
 	return &Client{
 		clock:   clock,
 		baseURL: "http://" + address.String(),
-		reads:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-		writes:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		reads:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4}},
+		writes:  &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
 	}
 }
 
--- a/target/client.go
+++ b/target/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"kingcupcross/strict"
 	"kingcupcross/units"
 )
 
@@ -53,7 +54,8 @@
 		transport:   t,
 		idMatches:   func(sent, received string) bool { return sent == received },
 	}
-	t.DialContext = c.dial
+	// A malformed response must not count as the end of the target, so its check comes after that for the end of the connection.
+	t.DialContext = strict.Dial(c.dial)
 	return c
 }
 
