pool, strict: heads of other hosts' answers count towards the memory budget

What operators of similar systems saw: bytes without end in a head fill the memory of the host that called, and the requests of its other callers end with it.

Cause: answers of other hosts may have heads of 1 MB, since these list the signatures of all parts, and the memory budget counted bodies only. A header of many short fields takes several times its bytes once it is parsed.

Why this fix works: the part of a head beyond 64 KB is charged twice its size while it is read, as parsing copies it, and a header or trailer has at most 1,000 fields. A budget without room fails the answer, as it did for bodies.

--- a/mock/endless.go
+++ b/mock/endless.go
@@ -1,8 +1,11 @@
 package mock
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +22,8 @@
 	EndlessHeaderField EndlessPart = "field"
 	// EndlessHeader is the header, as a sequence of fields that never ends.
 	EndlessHeader EndlessPart = "head"
+	// EndlessFieldNames is the header, as a sequence of fields with different names and no values, which take far more memory than they have bytes.
+	EndlessFieldNames EndlessPart = "field names"
 	// EndlessInterim is a sequence of interim (1xx) responses.
 	EndlessInterim EndlessPart = "interim responses"
 	// EndlessBody is a body without a Content-Length.
@@ -39,7 +44,7 @@
 
 // EndlessParts lists all parts of a response that can be endless.
 var EndlessParts = []EndlessPart{
-	EndlessStatus, EndlessHeaderField, EndlessHeader, EndlessInterim, EndlessBody, EndlessContentLength,
+	EndlessStatus, EndlessHeaderField, EndlessHeader, EndlessFieldNames, EndlessInterim, EndlessBody, EndlessContentLength,
 	EndlessChunks, EndlessChunkSize, EndlessChunkExtension, EndlessTrailer, EndlessAfterResponse,
 }
 
@@ -56,6 +61,8 @@
 		return signedHead + "X-Field: ", "x"
 	case EndlessHeader:
 		return signedHead, "X-Field: x\r\n"
+	case EndlessFieldNames:
+		return signedHead, manyFieldNames()
 	case EndlessInterim:
 		return "", "HTTP/1.1 103 Early Hints\r\nX-Field: x\r\n\r\n"
 	case EndlessContentLength:
@@ -75,6 +82,15 @@
 	}
 }
 
+// manyFieldNames returns fields with different names, more than any head may hold.
+func manyFieldNames() string {
+	var b strings.Builder
+	for i := range 1 << 18 {
+		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	return b.String()
+}
+
 // EndlessResponse is a response of which one part never ends.
 type EndlessResponse struct {
 	Part EndlessPart
@@ -105,7 +121,7 @@
 // writeRepeatedly writes a text over and over until the client closes the connection.
 func (p EndlessResponse) writeRepeatedly(c net.Conn, text []byte) {
 	if !p.Slow {
-		block := []byte(strings.Repeat(string(text), writeSize/len(text)))
+		block := []byte(strings.Repeat(string(text), max(writeSize/len(text), 1)))
 		for {
 			if _, err := c.Write(block); err != nil {
 				return
@@ -119,3 +135,58 @@
 		time.Sleep(time.Second)
 	}
 }
+
+// EndlessServer is a test double of a host or a store that answers each request with an endless response.
+type EndlessServer struct {
+	Address  netip.AddrPort
+	listener net.Listener
+	part     EndlessPart
+}
+
+// NewEndlessServer starts a server at a free port whose responses never end in the given part.
+func NewEndlessServer(part EndlessPart) (*EndlessServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &EndlessServer{
+		Address:  l.Addr().(*net.TCPAddr).AddrPort(),
+		listener: l,
+		part:     part,
+	}
+	go s.accept()
+	return s, nil
+}
+
+// accept serves connections until Close.
+func (s *EndlessServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+// serve answers the first request of a connection until the client closes it.
+func (s *EndlessServer) serve(c net.Conn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	// What can't be read doesn't change the answer.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, r.ContentLength))
+	prefix, repeated := s.part.payload()
+	prefix = strings.NewReplacer("{id}", "q", "{signature}", "sig-1", "{length}", "2", "{body}", "{}").Replace(prefix)
+	if _, err := io.WriteString(c, prefix); err != nil {
+		return
+	}
+	EndlessResponse{Part: s.part}.writeRepeatedly(c, []byte(repeated))
+}
+
+// Close stops accepting connections.
+func (s *EndlessServer) Close() {
+	s.listener.Close()
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"kingcupcross/bound"
 	"kingcupcross/strict"
 	"kingcupcross/timer"
 )
@@ -95,7 +96,7 @@
 // Pool sends requests and keeps idle connections by address.
 type Pool struct {
 	clock  *timer.Clock
-	memory memoryBudget
+	memory *bound.Memory
 	dial   func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 	mu   sync.Mutex
@@ -117,11 +118,12 @@
 	expires time.Time
 }
 
-// New returns an empty pool. The memory budget limits the total size in bytes of all bodies being read, not counting the first 32 KiB of each.
+// New returns an empty pool. The memory budget limits the total size in bytes of all responses being read, not counting the first 64 KiB of each head and 32 KiB of each body.
 func New(clock *timer.Clock, memory int64, scope tally.Scope) *Pool {
 	var d net.Dialer
 	p := &Pool{
-		clock: clock,
+		clock:  clock,
+		memory: bound.NewMemory(memory),
 		dial: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", a.String())
 		},
@@ -130,7 +132,6 @@
 		reuses: scope.Counter("reuses"),
 		stale:  scope.Counter("stale_answers"),
 	}
-	p.memory.free.Store(memory)
 	return p
 }
 
@@ -161,6 +162,9 @@
 	response, reusable, err := p.roundTrip(c, r)
 	if err != nil {
 		c.Close()
+		if violation := c.responses.Err(); violation != nil {
+			err = violation
+		}
 		return nil, &Error{
 			Sent:      true,
 			Late:      errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err),
@@ -237,7 +241,8 @@
 		bounds = DefaultBounds
 	}
 	// Interim responses count towards the limit of the head.
-	c.limit.remaining = bounds.Head
+	c.limit.beginHead(bounds.Head)
+	defer c.limit.release()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -249,8 +254,8 @@
 		if r.OnHead != nil {
 			r.OnHead(resp.StatusCode, resp.Header)
 		}
-		c.limit.remaining = bounds.Body + bounds.Head
-		body, err := p.memory.readBody(resp.Body, resp.ContentLength, bounds.Body)
+		c.limit.beginBody(bounds.Body + bounds.Head)
+		body, err := p.memory.ReadBody(resp.Body, resp.ContentLength, bounds.Body)
 		if err != nil {
 			return nil, false, c.limit.wrapLimitError(err)
 		}
@@ -282,12 +287,12 @@
 		n.Close()
 		return nil, syscall.ECONNRESET
 	}
-	return newConn(n), nil
+	return p.newConn(n), nil
 }
 
 // newConn wraps a network connection.
-func newConn(n net.Conn) *conn {
-	l := &limitedReader{source: n}
+func (p *Pool) newConn(n net.Conn) *conn {
+	l := &limitedReader{source: n, memory: p.memory}
 	responses := strict.NewReader(l)
 	return &conn{
 		Conn:      n,
@@ -343,7 +348,7 @@
 	if idleTime == 0 {
 		idleTime = maxIdleTime
 	}
-	p.storeIdle(address, newConn(n), idleTime, 1)
+	p.storeIdle(address, p.newConn(n), idleTime, 1)
 	return nil
 }
 
--- a/strict/reader.go
+++ b/strict/reader.go
@@ -6,7 +6,7 @@
 	"net"
 )
 
-// Reader reads HTTP/1.1 responses from a connection and fails at the first malformed one, with an error that wraps ErrMalformed. Whole responses before it can still be read.
+// Reader reads HTTP/1.1 responses from a connection and fails at the first malformed one, with an error that wraps ErrMalformed, or at one with too many fields, with one that wraps bound.ErrTooLong. Whole responses before it can still be read.
 type Reader struct {
 	source  io.Reader
 	scanner scanner
@@ -29,6 +29,11 @@
 	return r.violation == nil && r.scanner.inStep()
 }
 
+// Err returns the error of the first malformed response, or nil. net/http may report another one for the truncated input.
+func (r *Reader) Err() error {
+	return r.violation
+}
+
 // Read reads received bytes. It doesn't return any byte of a malformed response that was received at once.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.violation != nil {
--- a/strict/scan.go
+++ b/strict/scan.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"kingcupcross/bound"
 )
 
 // ErrMalformed is the cause of errors for responses with an invalid status line, header, trailer or chunk.
@@ -41,6 +43,8 @@
 	maxKeptName = 64
 	// maxKeptValue is the length up to which the value of a field that determines the framing is kept. No valid one is as long.
 	maxKeptValue = 64
+	// maxFields is the number of fields of a header or trailer. A parsed field takes over a hundred bytes, even if it was received as three.
+	maxFields = 1000
 )
 
 // scanner checks the responses of one connection byte by byte. It follows their framing, so that it knows which bytes belong to a body.
@@ -59,6 +63,7 @@
 	major, minor byte
 	status       int
 	inTrailer    bool
+	fields       int
 	// name and value are the current field's, up to maxKeptName and maxKeptValue bytes.
 	name, value []byte
 	chunked     bool
@@ -89,7 +94,7 @@
 	return s.state == inVersion && s.position == 0 && !s.afterInterim && !s.cr
 }
 
-// scan checks received bytes. The first complete of them end with a final response, or complete is zero. An error wraps ErrMalformed and concerns the bytes after these.
+// scan checks received bytes. The first complete of them end with a final response, or complete is zero. An error wraps ErrMalformed, or bound.ErrTooLong for too many fields, and concerns the bytes after these.
 func (s *scanner) scan(b []byte) (complete int, err error) {
 	for i := 0; i < len(b); {
 		switch s.state {
@@ -107,7 +112,11 @@
 				s.nextHead()
 			}
 		default:
-			if err := s.scanByte(b[i]); err != nil {
+			err := s.scanByte(b[i])
+			switch {
+			case errors.Is(err, bound.ErrTooLong):
+				return complete, err
+			case err != nil:
 				return complete, fmt.Errorf("%w: %w", ErrMalformed, err)
 			}
 			i++
@@ -286,6 +295,9 @@
 
 // endField handles the end of a field and keeps what determines the framing.
 func (s *scanner) endField() error {
+	if s.fields++; s.fields > maxFields {
+		return fmt.Errorf("%w: more than %d fields", bound.ErrTooLong, maxFields)
+	}
 	value := strings.TrimRight(string(s.value), " \t")
 	isLength := strings.EqualFold(string(s.name), "Content-Length")
 	isEncoding := strings.EqualFold(string(s.name), "Transfer-Encoding")
@@ -343,7 +355,7 @@
 	case s.position == 0:
 		return errors.New("empty chunk size")
 	case s.remaining == 0:
-		s.state, s.inTrailer = atField, true
+		s.state, s.inTrailer, s.fields = atField, true, 0
 	default:
 		s.state = inChunk
 	}
--- a/strict/scan_test.go
+++ b/strict/scan_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupcross/bound"
 	"kingcupcross/mock"
 	"kingcupcross/strict"
 )
@@ -164,6 +165,19 @@
 	}
 }
 
+// TestTooManyFieldsAreTooLong guards against a header or trailer whose fields take far more memory than they have bytes.
+func TestTooManyFieldsAreTooLong(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+	for n, tooMany := range map[int]bool{999: false, 1001: true} {
+		many := strings.Repeat("a:\r\n", n)
+		for _, response := range []string{"HTTP/1.1 200 OK\r\n" + many + "\r\n", chunked + many + "\r\n"} {
+			_, err := io.ReadAll(strict.NewReader(strings.NewReader(response)))
+			require.Equal(t, tooMany, errors.Is(err, bound.ErrTooLong))
+			require.Equal(t, tooMany, err != nil)
+		}
+	}
+}
+
 // TestErrMalformedIsTheCause guards against errors from which it can't be seen what is wrong.
 func TestErrMalformedIsTheCause(t *testing.T) {
 	for response, text := range map[string]string{
