--- a/store/client.go
+++ b/store/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"kingcupcross/bound"
 	"kingcupcross/fault"
 	"kingcupcross/strict"
 	"kingcupcross/timer"
@@ -26,14 +27,19 @@
 	callTimeout = 2 * time.Second
 	// watchMargin is added to the wait time of a watch to get its timeout.
 	watchMargin = 2 * time.Second
-	// maxResponseBytes bounds the size of a response: a page of values with their encoding.
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes bounds the size of a response: a page of values with their encoding. List reads a longer one in parts.
+	maxResponseBytes = 16 << 20
+	// responseMemory bounds the size of all responses that are being received.
+	responseMemory = 24 << 20
+	// maxResponseHeadBytes bounds the status line and header of a response.
+	maxResponseHeadBytes = 64 << 10
 )
 
 // Client calls the store. Its methods fail with kind fault.Store where the store gave no valid response and with fault.Conflict where the condition of a write wasn't met; Ran is set if a failed write may have taken effect.
 type Client struct {
 	clock   *timer.Clock
 	baseURL string
+	memory  *bound.Memory
 	// reads keeps connections alive between calls.
 	reads *http.Client
 	// writes opens a new connection for each call. On a kept connection that the store has closed it is unknown whether the request arrived.
@@ -46,8 +52,17 @@
 	return &Client{
 		clock:   clock,
 		baseURL: "http://" + address.String(),
-		reads:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4}},
-		writes:  &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+		memory:  bound.NewMemory(responseMemory),
+		reads: &http.Client{Transport: &http.Transport{
+			DialContext:            dial,
+			MaxIdleConnsPerHost:    4,
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
+		}},
+		writes: &http.Client{Transport: &http.Transport{
+			DialContext:            dial,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
+		}},
 	}
 }
 
@@ -87,9 +102,25 @@
 	var page Page
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	_, err := c.call(ctx, http.MethodGet, PathList+"?"+query.Encode(), nil, &page, callTimeout)
+	if errors.As(err, new(*tooLongError)) && limit > 1 {
+		return c.listInParts(ctx, prefix, after, limit)
+	}
 	return page, err
 }
 
+// listInParts is List for a page that is too long for one response. It returns the lowest revision of its parts.
+func (c *Client) listInParts(ctx context.Context, prefix, after string, limit int) (Page, error) {
+	first, err := c.List(ctx, prefix, after, limit/2)
+	if err != nil || len(first.Entries) < limit/2 {
+		return first, err
+	}
+	rest, err := c.List(ctx, prefix, first.Entries[len(first.Entries)-1].Key, limit-limit/2)
+	return Page{
+		Entries:  append(first.Entries, rest.Entries...),
+		Revision: min(first.Revision, rest.Revision),
+	}, err
+}
+
 // Watch waits up to wait for entries with the prefix that were written after revision. It returns an empty page if there were none.
 func (c *Client) Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) (Page, error) {
 	var page Page
@@ -147,26 +178,40 @@
 		return 0, f
 	}
 	defer resp.Body.Close()
-	if err := decodeResponse(resp, method+" "+path, out); err != nil {
+	answer, readErr := c.memory.ReadBody(resp.Body, resp.ContentLength, maxResponseBytes)
+	if errors.Is(readErr, bound.ErrTooLong) && method == http.MethodGet {
+		return resp.StatusCode, &tooLongError{fault: fault.New(fault.Store, "%s %s: %v", method, path, readErr)}
+	}
+	if err := decodeResponse(resp.StatusCode, answer, readErr, method+" "+path, out); err != nil {
 		err.Ran = method != http.MethodGet && !rejectedByStore(resp.StatusCode)
 		return resp.StatusCode, err
 	}
 	return resp.StatusCode, nil
 }
 
+// tooLongError is the error of a read whose response exceeds maxResponseBytes.
+type tooLongError struct {
+	fault *fault.Error
+}
+
+// Error returns the text of the fault.
+func (e *tooLongError) Error() string { return e.fault.Error() }
+
+// Unwrap returns the fault.
+func (e *tooLongError) Unwrap() error { return e.fault }
+
 // rejectedByStore reports whether the store has rejected the call, so that a write certainly had no effect.
 func rejectedByStore(status int) bool {
 	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
 }
 
-// decodeResponse decodes the body of a successful response into out; what names the call in errors.
-func decodeResponse(resp *http.Response, what string, out any) *fault.Error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
-		return fault.New(fault.Store, "%s: %v", what, err)
+// decodeResponse decodes the body of a successful response into out, unless it could not be read; what names the call in errors.
+func decodeResponse(status int, body []byte, readErr error, what string, out any) *fault.Error {
+	if readErr != nil {
+		return fault.New(fault.Store, "%s: %v", what, readErr)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return fault.New(fault.Store, "%s: status %d: %s", what, resp.StatusCode, bytes.TrimSpace(body))
+	if status != http.StatusOK {
+		return fault.New(fault.Store, "%s: status %d: %s", what, status, bytes.TrimSpace(body))
 	}
 	if out == nil {
 		return nil
