target, keeper: replies of all targets of a host share a memory budget

Why this fix works: heads have at most 64 KB, and the keeper gives the clients of its targets one budget of 24 MB for replies beyond their first 32 KB.

--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -68,7 +68,7 @@
 		keeper:  k,
 		service: service,
 		name:    t.Name,
-		client:  target.NewClient(t.Address, t.Conns),
+		client:  target.NewClient(t.Address, t.Conns, k.replyMemory),
 		target:  t,
 	}
 	g.client.OnDisconnect(g.onDisconnect)
--- a/keeper/gate_test.go
+++ b/keeper/gate_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupcross/bound"
 	"kingcupcross/emul"
 	"kingcupcross/target"
 	"kingcupcross/units"
@@ -28,7 +29,7 @@
 	server := httptest.NewServer(b.target.Handler())
 	defer server.Close()
 	g := b.gate()
-	g.client = target.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()), 2)
+	g.client = target.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()), 2, bound.NewMemory(1<<20))
 	f(g)
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/board"
+	"kingcupcross/bound"
 	"kingcupcross/fault"
 	"kingcupcross/shard"
 	"kingcupcross/target"
@@ -20,6 +21,9 @@
 	"kingcupcross/wire"
 )
 
+// replyMemoryBytes is the memory in bytes for the replies of all targets that are being received. A reply has up to 4 MB.
+const replyMemoryBytes = 24 << 20
+
 // Keeper claims the targets assigned to this host and admits requests to them, one gate per target.
 type Keeper struct {
 	clock    *timer.Clock
@@ -29,6 +33,8 @@
 	guards   guards
 	// tables caches the assignment of all targets to hosts.
 	tables *tableCache
+	// replyMemory is the memory for the replies of all targets that are being received.
+	replyMemory *bound.Memory
 	// allowReusedIDs accepts an Ask whose id is still in use. Only tests set it, to show what the check prevents.
 	allowReusedIDs bool
 	// callYield asks a peer to give up targets, sendSignal tells it that a target is leaving, and spawn runs a function concurrently.
@@ -63,6 +69,7 @@
 		counters:       newCounters(scope),
 		guards:         newGuards(b),
 		tables:         &tableCache{board: b},
+		replyMemory:    bound.NewMemory(replyMemoryBytes),
 		spawn:          func(f func()) { go f() },
 		leavingSignals: map[string]uint64{},
 		pendingAsks:    map[string]*pendingAsk{},
--- a/keeper/slope_test.go
+++ b/keeper/slope_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupcross/board"
+	"kingcupcross/bound"
 	"kingcupcross/target"
 	"kingcupcross/wire"
 )
@@ -169,7 +170,7 @@
 		w.Write(bytes.Repeat([]byte{' '}, partSize))
 	}))
 	defer server.Close()
-	c := target.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()), 4)
+	c := target.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()), 4, bound.NewMemory(1<<20))
 	measureCPU(b, func() {
 		_, err := c.Query(context.Background(), target.Query{ID: "q1", Service: "s1", Shards: []int{1}, Payload: make([]byte, partSize)})
 		require.NoError(b, err)
--- a/order/book_test.go
+++ b/order/book_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"kingcupcross/bound"
 	"kingcupcross/emul"
 	"kingcupcross/fault"
 	"kingcupcross/target"
@@ -257,7 +258,7 @@
 // shedByTarget fills the target with orders that its keeper doesn't know of, so that the target refuses an order that the keeper sends.
 func shedByTarget(fl *fleet) {
 	fl.frozen.Store(true)
-	client := target.NewClient(fl.shards.Targets[0].Address, 4)
+	client := target.NewClient(fl.shards.Targets[0].Address, 4, bound.NewMemory(1<<20))
 	for i := range 4 {
 		go client.Order(fl.t.Context(), fl.t.Context(), func() error { return nil }, target.Order{ID: fmt.Sprint(i)})
 	}
--- a/order/fleet_test.go
+++ b/order/fleet_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcross/board"
+	"kingcupcross/bound"
 	"kingcupcross/emul"
 	"kingcupcross/fault"
 	"kingcupcross/keeper"
@@ -179,7 +180,7 @@
 		return nil
 	}
 	defer func() { <-s.slots }()
-	client := target.NewClient(s.fl.shards.Target(o.Target).Address, 4)
+	client := target.NewClient(s.fl.shards.Target(o.Target).Address, 4, bound.NewMemory(1<<20))
 	defer client.Close()
 	reply, err := client.Order(context.Background(), startDeadline, s.checkRunning, target.Order{ID: o.ID, Payload: o.Payload})
 	r.Payload = reply.Payload
--- a/target/client.go
+++ b/target/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,13 +14,15 @@
 
 	"github.com/rotisserie/eris"
 
+	"kingcupcross/bound"
 	"kingcupcross/strict"
 	"kingcupcross/units"
 )
 
 const (
-	// maxReplyBytes is the maximum size of a target's reply.
-	maxReplyBytes = 4 << 20
+	// maxReplyBytes is the maximum size of a target's reply, maxReplyHeadBytes that of its status line and header.
+	maxReplyBytes     = 4 << 20
+	maxReplyHeadBytes = 64 << 10
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 30 * time.Second
 )
@@ -32,18 +33,21 @@
 	queryClient *http.Client
 	orderClient *http.Client
 	transport   *http.Transport
+	memory      *bound.Memory
 	// idMatches reports whether a reply's id is the id of the sub-request that was sent. Tests replace it.
 	idMatches    func(sent, received string) bool
 	onDisconnect atomic.Pointer[func()]
 }
 
-// NewClient returns a client for the target at address that opens at most conns connections.
-func NewClient(address netip.AddrPort, conns int) *Client {
+// NewClient returns a client for the target at address that opens at most conns connections. The memory budget, which clients share, limits the total size of the bodies of replies that are being received.
+func NewClient(address netip.AddrPort, conns int, memory *bound.Memory) *Client {
 	t := &http.Transport{
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxReplyHeadBytes,
 		// The body of an order is sent when the target has responded to the request's head, or after the timeout.
 		ExpectContinueTimeout: continueTimeout,
 	}
@@ -52,6 +56,7 @@
 		queryClient: &http.Client{Transport: t},
 		orderClient: &http.Client{Transport: t, CheckRedirect: refuseRedirect},
 		transport:   t,
+		memory:      memory,
 		idMatches:   func(sent, received string) bool { return sent == received },
 	}
 	// A malformed response must not count as the end of the target, so its check comes after that for the end of the connection.
@@ -112,7 +117,7 @@
 	if err != nil {
 		return r, eris.Wrap(err, "build sub-request")
 	}
-	if err := doRequest(c.queryClient, req, &r); err != nil {
+	if err := c.doRequest(c.queryClient, req, &r); err != nil {
 		return r, err
 	}
 	if !c.idMatches(q.ID, r.ID) {
@@ -131,7 +136,7 @@
 	if err != nil {
 		return eris.Wrap(err, "build cancel")
 	}
-	return doRequest(c.queryClient, req, nil)
+	return c.doRequest(c.queryClient, req, nil)
 }
 
 // State requests the target's state, which may be stale.
@@ -141,18 +146,18 @@
 	if err != nil {
 		return s, eris.Wrap(err, "build state request")
 	}
-	err = doRequest(c.queryClient, req, &s)
+	err = c.doRequest(c.queryClient, req, &s)
 	return s, err
 }
 
 // doRequest sends a request and decodes the reply into out unless out is nil. Any status other than 200 is an error, a Refusal if the body states a reason.
-func doRequest(client *http.Client, req *http.Request, out any) error {
+func (c *Client) doRequest(client *http.Client, req *http.Request, out any) error {
 	resp, err := client.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "exchange with target")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := c.memory.ReadBody(resp.Body, resp.ContentLength, maxReplyBytes)
 	if err != nil {
 		return eris.Wrap(err, "read target's reply")
 	}
--- a/target/client_test.go
+++ b/target/client_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupcross/bound"
 	"kingcupcross/shard"
 )
 
@@ -31,7 +32,7 @@
 		json.NewEncoder(w).Encode(out)
 	}))
 	defer server.Close()
-	c := NewClient(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), 1)
+	c := NewClient(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), 1, bound.NewMemory(1<<20))
 	defer c.Close()
 	f(c)
 }
@@ -70,7 +71,7 @@
 				}
 				w.Write(complete[:n])
 			}))
-			c := NewClient(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), 1)
+			c := NewClient(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), 1, bound.NewMemory(1<<20))
 			_, err := c.Query(t.Context(), Query{ID: "q1"})
 			require.Error(t, err)
 			c.Close()
--- a/target/malformed_test.go
+++ b/target/malformed_test.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
+	"kingcupcross/bound"
 	"kingcupcross/mock"
 	"kingcupcross/target"
 )
@@ -57,7 +58,7 @@
 		for name, response := range mock.BrokenResponses("", body) {
 			for _, reused := range []bool{false, true} {
 				var ends atomic.Int64
-				c := target.NewClient(server.Address, 2)
+				c := target.NewClient(server.Address, 2, bound.NewMemory(1<<20))
 				c.OnDisconnect(func() { ends.Add(1) })
 				if reused {
 					server.Answer.Store(&sound)
@@ -91,7 +92,7 @@
 				// Calls of a target succeed with 200 only.
 				continue
 			}
-			c := target.NewClient(server.Address, 2)
+			c := target.NewClient(server.Address, 2, bound.NewMemory(1<<20))
 			server.Answer.Store(&response)
 			for range 2 {
 				require.NoError(t, do(c), "%s, %s", call, name)
--- a/target/order.go
+++ b/target/order.go
@@ -133,7 +133,7 @@
 	req.ContentLength = body.reader.Size()
 	// With "Expect: 100-continue", a connection closed by the target is detected by sending the head, while the body has certainly not been sent.
 	req.Header.Set("Expect", "100-continue")
-	return r, doRequest(c.orderClient, req, &r)
+	return r, c.doRequest(c.orderClient, req, &r)
 }
 
 // validateReply returns a SendError if the reply belongs to another order or its checksum is wrong. In both cases the order may have run.
--- a/target/order_test.go
+++ b/target/order_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
+
+	"kingcupcross/bound"
 )
 
 // connScript is a target's behaviour on one connection after it has read the request's head. The function readBody sends "100 Continue" and reads n bytes of the body.
@@ -37,7 +39,7 @@
 			go runScript(conn, s, &bodies)
 		}
 	}()
-	c := NewClient(netip.MustParseAddrPort(l.Addr().String()), 2)
+	c := NewClient(netip.MustParseAddrPort(l.Addr().String()), 2, bound.NewMemory(1<<20))
 	defer c.Close()
 	f(c)
 	return int(bodies.Load())
@@ -210,7 +212,7 @@
 		}
 		req.Body, _ = req.GetBody()
 		req.ContentLength = int64(length)
-		require.NoError(t, doRequest(&http.Client{Transport: client.transport}, req, nil))
+		require.NoError(t, client.doRequest(&http.Client{Transport: client.transport}, req, nil))
 	})
 	require.Equal(t, 2, bodies, "a body that can be read again is sent twice")
 }
--- a/trial/direct.go
+++ b/trial/direct.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"kingcupcross/bound"
 	"kingcupcross/query"
 	"kingcupcross/shard"
 	"kingcupcross/target"
@@ -21,11 +22,15 @@
 	queryCount atomic.Uint64
 }
 
+// directReplyMemory is the memory in bytes for the replies that a runner is receiving.
+const directReplyMemory = 24 << 20
+
 // newDirectRunner returns a runner that sends a host's queries; each target's connections are divided evenly among the hosts.
 func newDirectRunner(s *Cluster, h *Host) *directRunner {
 	d := &directRunner{cluster: s, host: h}
+	memory := bound.NewMemory(directReplyMemory)
 	for _, t := range s.Map.Targets {
-		d.clients = append(d.clients, target.NewClient(t.Address, max(1, t.Conns/len(s.Hosts))))
+		d.clients = append(d.clients, target.NewClient(t.Address, max(1, t.Conns/len(s.Hosts)), memory))
 	}
 	return d
 }
