wire, order: messages of other hosts share a memory budget

Evidence: TestEndlessMessagesOfHosts, 16 other hosts, in a process of its own. TestUnboundedRPCMessage counts what one connection reads and passed before.

Why this fix works: the connection follows the lengths of messages. One of more than 9 MB, or one for which the budget of 9 MB of a dialer or server has no room, ends the connection before the decoder sees its length. Memory is given back once the next message is read, when the last one has been decoded. It isn't a host that ended the connection.

Pages of order records are split by their size too, since 1,000 large outcomes didn't fit into a message (TestPagesOfLargeRecordsAreSmall).

--- a/order/adopt.go
+++ b/order/adopt.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// adoptPageSize is the maximum number of records in one Adopt call.
-	adoptPageSize = 1000
+	// adoptPageSize is the maximum number of records in one Adopt call, adoptPageBytes the size of their payloads from which a page is complete.
+	adoptPageSize  = 1000
+	adoptPageBytes = 1 << 20
 	// maxAdoptedRecords limits the records that a host holds for others; above it the host refuses further records and the sender tries the next successor.
 	maxAdoptedRecords = 200_000
 	// adoptTimeout is the timeout of one Adopt call.
@@ -162,7 +163,7 @@
 	var pages []wire.Adopt
 	for {
 		p := header
-		p.Records = records[:min(adoptPageSize, len(records))]
+		p.Records = records[:countPage(records)]
 		records = records[len(p.Records):]
 		p.Last = complete && len(records) == 0
 		pages = append(pages, p)
@@ -171,3 +172,15 @@
 		}
 	}
 }
+
+// countPage returns the number of records of the next page.
+func countPage(records []wire.OrderRecord) int {
+	size := 0
+	for i, r := range records {
+		size += len(r.Reply.Payload)
+		if i+1 == adoptPageSize || size >= adoptPageBytes {
+			return i + 1
+		}
+	}
+	return len(records)
+}
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"kingcupcross/bound"
 	"kingcupcross/fault"
 )
 
@@ -31,27 +32,33 @@
 // errReadLimit is returned by a read after which a connection exceeds maxReadBetweenWrites.
 var errReadLimit = errors.New("the other side sends without end")
 
-// conn is a connection that limits the time of each write and the bytes read between writes, and that calls a function once when it ends.
+// conn is a connection that limits the time of each write, the size of messages and the bytes read between writes, and that calls a function once when it ends.
 type conn struct {
 	net.Conn
 	// lastRead is when bytes were last received, in Unix nanoseconds.
 	lastRead atomic.Int64
 	// readSinceWrite is the number of bytes received since the last write.
 	readSinceWrite atomic.Int64
+	messages       messageLimit
 	endOnce        sync.Once
 	// onEnd is called once when the connection ends. The argument says whether the peer ended it.
 	onEnd func(remote bool)
 }
 
-// newConn wraps a network connection.
-func newConn(n net.Conn, onEnd func(remote bool)) *conn {
-	c := &conn{Conn: n, onEnd: onEnd}
+// newConn wraps a network connection. The memory budget limits the messages that are being received.
+func newConn(n net.Conn, memory *bound.Memory, onEnd func(remote bool)) *conn {
+	c := &conn{
+		Conn:     n,
+		messages: messageLimit{memory: memory},
+		onEnd:    onEnd,
+	}
 	c.lastRead.Store(time.Now().UnixNano())
 	return c
 }
 
-// Read reads from the connection and records the time. It closes the connection if too much is received without a write.
+// Read reads from the connection and records the time. It closes the connection if a message is too long, or too much is received without a write.
 func (c *conn) Read(b []byte) (int, error) {
+	c.messages.beforeRead()
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
@@ -60,7 +67,13 @@
 		err = errReadLimit
 		c.Conn.Close()
 	}
+	if limitErr := c.messages.scan(b[:n]); limitErr != nil {
+		// The decoder must not see the length, for which it would allocate memory.
+		n, err = 0, limitErr
+		c.Close()
+	}
 	if err != nil {
+		c.messages.release()
 		c.endOnce.Do(func() { c.onEnd(true) })
 	}
 	return n, err
@@ -83,7 +96,9 @@
 // Close ends the connection from this side.
 func (c *conn) Close() error {
 	c.endOnce.Do(func() { c.onEnd(false) })
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.messages.release()
+	return err
 }
 
 const (
@@ -99,6 +114,7 @@
 
 	rpc         *rpc.Server
 	listener    net.Listener
+	memory      *bound.Memory
 	mu          sync.Mutex
 	conns       map[net.Conn]bool
 	closed      bool
@@ -111,6 +127,7 @@
 		OnAcceptError: func(error) {},
 		rpc:           rpc.NewServer(),
 		listener:      l,
+		memory:        bound.NewMemory(messageMemory),
 		conns:         map[net.Conn]bool{},
 	}
 }
@@ -156,7 +173,7 @@
 // serveConn serves calls over one connection until it ends.
 func (s *Server) serveConn(c net.Conn) {
 	defer s.activeConns.Done()
-	s.rpc.ServeConn(newConn(c, func(bool) {}))
+	s.rpc.ServeConn(newConn(c, s.memory, func(bool) {}))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
@@ -192,6 +209,7 @@
 	OnDisconnect func(netip.AddrPort)
 
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	memory *bound.Memory
 	mu     sync.Mutex
 	conns  map[netip.AddrPort]*hostConn
 	closed bool
@@ -211,6 +229,7 @@
 	return &Dialer{
 		OnDisconnect: func(netip.AddrPort) {},
 		dial:         (&net.Dialer{}).DialContext,
+		memory:       bound.NewMemory(messageMemory),
 		conns:        map[netip.AddrPort]*hostConn{},
 	}
 }
@@ -314,7 +333,7 @@
 		d.removeConn(address, h)
 		return
 	}
-	h.conn = newConn(c, func(remote bool) {
+	h.conn = newConn(c, d.memory, func(remote bool) {
 		d.removeConn(address, h)
 		if remote {
 			d.OnDisconnect(address)
