--- a/cmds/callers.go
+++ b/cmds/callers.go
@@ -15,13 +15,19 @@
 	"github.com/rotisserie/eris"
 
 	"kingcupcross/apiv1"
+	"kingcupcross/bound"
 	"kingcupcross/fault"
 	"kingcupcross/strict"
 	"kingcupcross/units"
 )
 
-// clientTimeout bounds one request to a host as a caller, including the reading of its answer.
-const clientTimeout = 60 * time.Second
+const (
+	// clientTimeout bounds one request to a host as a caller, including the reading of its answer.
+	clientTimeout = 60 * time.Second
+	// maxAnswerBytes bounds the body of an answer, maxAnswerHeadBytes its status line and header.
+	maxAnswerBytes     = 32 << 20
+	maxAnswerHeadBytes = 64 << 10
+)
 
 // Caller holds the flags shared by all commands that send requests to a host as a caller.
 type Caller struct {
@@ -29,25 +35,48 @@
 	JSON bool           `help:"Print JSON."`
 }
 
-// newTransport returns a transport with the defaults of net/http that fails malformed responses.
-func newTransport() *http.Transport {
+// client sends requests to hosts and reads their answers within bounds. Malformed answers are errors.
+type client struct {
+	http *http.Client
+	// memory bounds the bodies of all answers that are being received.
+	memory *bound.Memory
+}
+
+// newClient returns a client with the defaults of net/http that keeps up to idle connections to each host.
+func newClient(idle int, memory int64) *client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.DialContext = strict.Dial(t.DialContext)
-	return t
+	t.MaxIdleConns, t.MaxIdleConnsPerHost = idle, idle
+	t.MaxResponseHeaderBytes = maxAnswerHeadBytes
+	return &client{http: &http.Client{Transport: t}, memory: bound.NewMemory(memory)}
+}
+
+// do sends a request and returns the answer and its body.
+func (c *client) do(req *http.Request) (*http.Response, []byte, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "send request to host %s", req.URL.Host)
+	}
+	defer resp.Body.Close()
+	body, err := c.memory.ReadBody(resp.Body, resp.ContentLength, maxAnswerBytes)
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "read answer of host %s", req.URL.Host)
+	}
+	return resp, body, nil
 }
 
-// httpClient sends the requests of all commands but load.
-var httpClient = &http.Client{Transport: newTransport()}
+// commandClient sends the requests of all commands but load.
+var commandClient = newClient(2, maxAnswerBytes)
 
-// post sends one request to the host like postJSON, with httpClient and within clientTimeout.
+// post sends one request to the host like postJSON, with commandClient and within clientTimeout.
 func (c *Caller) post(path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
-	return postJSON(ctx, httpClient, c.Host, path, in, out)
+	return postJSON(ctx, commandClient, c.Host, path, in, out)
 }
 
 // postJSON posts a request as JSON and decodes the answer after checking its length and checksum; a refusal is returned as a fault.Error.
-func postJSON(ctx context.Context, client *http.Client, host netip.AddrPort, path string, in, out any) error {
+func postJSON(ctx context.Context, client *client, host netip.AddrPort, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return eris.Wrap(err, "encode request")
@@ -58,14 +87,9 @@
 	}
 	// Without GetBody, net/http cannot resend the request by itself.
 	req.GetBody = nil
-	resp, err := client.Do(req)
+	resp, answer, err := client.do(req)
 	if err != nil {
-		return eris.Wrapf(err, "send request to host %s", host)
-	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return eris.Wrap(err, "read answer body")
+		return err
 	}
 	if strconv.FormatUint(xxhash.Sum64(answer), 16) != resp.Header.Get(apiv1.ChecksumHeader) {
 		return eris.New("answer body does not match its checksum")
--- a/cmds/fleet.go
+++ b/cmds/fleet.go
@@ -153,17 +153,16 @@
 	if err != nil {
 		return eris.Wrap(err, "build request")
 	}
-	resp, err := httpClient.Do(req)
+	resp, body, err := commandClient.do(req)
 	if err != nil {
-		return eris.Wrapf(err, "send request to host %s", a)
+		return err
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		var f apiv1.Failure
-		if err := json.NewDecoder(resp.Body).Decode(&f); err != nil {
+		if err := json.Unmarshal(body, &f); err != nil {
 			return eris.Errorf("host %s returned status %s", a, resp.Status)
 		}
 		return faultFromFailure(f)
 	}
-	return eris.Wrapf(json.NewDecoder(resp.Body).Decode(out), "decode answer of host %s", a)
+	return eris.Wrapf(json.Unmarshal(body, out), "decode answer of host %s", a)
 }
--- a/cmds/load.go
+++ b/cmds/load.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"os/signal"
 	"strconv"
@@ -18,7 +17,6 @@
 	"kingcupcross/emul"
 	"kingcupcross/fault"
 	"kingcupcross/load"
-	"kingcupcross/strict"
 	"kingcupcross/timer"
 	"kingcupcross/units"
 )
@@ -59,7 +57,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	s := newQuerySender(c)
-	defer s.client.CloseIdleConnections()
+	defer s.client.http.CloseIdleConnections()
 	r := load.New(timer.New(), c.plan(), s.send)
 	if !c.Quiet {
 		r.Progress = func(p load.Progress) { fmt.Fprintln(progress, p) }
@@ -107,19 +105,18 @@
 // querySender sends the queries of one load test.
 type querySender struct {
 	command *LoadCmd
-	client  *http.Client
+	client  *client
 	sent    atomic.Uint64
 }
 
+// loadMemory is the memory in bytes for the bodies of all answers that a load test is receiving.
+const loadMemory = 256 << 20
+
 // newQuerySender returns a sender whose HTTP client keeps up to Cap idle connections, so that it reuses connections instead of opening one for each query.
 func newQuerySender(c *LoadCmd) *querySender {
 	return &querySender{
 		command: c,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         strict.Dial((&net.Dialer{}).DialContext),
-			MaxIdleConns:        c.Cap,
-			MaxIdleConnsPerHost: c.Cap,
-		}},
+		client:  newClient(c.Cap, loadMemory),
 	}
 }
 
--- a/cmds/malformed_test.go
+++ b/cmds/malformed_test.go
@@ -23,7 +23,7 @@
 	load := newQuerySender(&LoadCmd{Cap: 2}).client
 	for command, do := range map[string]func() error{
 		"query": func() error {
-			return postJSON(ctx, httpClient, server.Address, apiv1.PathQuery, apiv1.Query{}, &apiv1.Answer{})
+			return postJSON(ctx, commandClient, server.Address, apiv1.PathQuery, apiv1.Query{}, &apiv1.Answer{})
 		},
 		"load": func() error {
 			return postJSON(ctx, load, server.Address, apiv1.PathQuery, apiv1.Query{}, &apiv1.Answer{})
