mock: senders of endless field names share one text

TestUnboundedTargetResponses, whose memory includes that of its 40 mock targets, failed in the part "field names" with 130 to 214 MB (x86_64): each mock response built and repeated 2 MB of names of its own. The receiving side alone, in a process of its own, took 7 MB.

--- a/mock/endless.go
+++ b/mock/endless.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -82,14 +83,14 @@
 	}
 }
 
-// manyFieldNames returns fields with different names, more than any head may hold.
-func manyFieldNames() string {
+// manyFieldNames returns fields with different names, more than any head may hold. All responses share one text.
+var manyFieldNames = sync.OnceValue(func() string {
 	var b strings.Builder
 	for i := range 1 << 18 {
 		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
 	}
 	return b.String()
-}
+})
 
 // EndlessResponse is a response of which one part never ends.
 type EndlessResponse struct {
@@ -114,28 +115,43 @@
 	if _, err := c.Write([]byte(prefix)); err != nil {
 		return nil
 	}
-	p.writeRepeatedly(c, []byte(repeated))
+	p.writeRepeatedly(c, repeated)
 	return nil
 }
 
 // writeRepeatedly writes a text over and over until the client closes the connection.
-func (p EndlessResponse) writeRepeatedly(c net.Conn, text []byte) {
+func (p EndlessResponse) writeRepeatedly(c net.Conn, text string) {
 	if !p.Slow {
-		block := []byte(strings.Repeat(string(text), max(writeSize/len(text), 1)))
+		block := text
+		if len(text) < writeSize {
+			block = strings.Repeat(text, writeSize/len(text))
+		}
 		for {
-			if _, err := c.Write(block); err != nil {
+			if err := writeInParts(c, block); err != nil {
 				return
 			}
 		}
 	}
 	for i := 0; ; i++ {
-		if _, err := c.Write(text[i%len(text) : i%len(text)+1]); err != nil {
+		if _, err := io.WriteString(c, text[i%len(text):i%len(text)+1]); err != nil {
 			return
 		}
 		time.Sleep(time.Second)
 	}
 }
 
+// writeInParts writes a text in parts of up to writeSize bytes, since each write copies its part.
+func writeInParts(c net.Conn, text string) error {
+	for len(text) > 0 {
+		n := min(len(text), writeSize)
+		if _, err := io.WriteString(c, text[:n]); err != nil {
+			return err
+		}
+		text = text[n:]
+	}
+	return nil
+}
+
 // EndlessServer is a test double of a host or a store that answers each request with an endless response.
 type EndlessServer struct {
 	Address  netip.AddrPort
@@ -183,7 +199,7 @@
 	if _, err := io.WriteString(c, prefix); err != nil {
 		return
 	}
-	EndlessResponse{Part: s.part}.writeRepeatedly(c, []byte(repeated))
+	EndlessResponse{Part: s.part}.writeRepeatedly(c, repeated)
 }
 
 // Close stops accepting connections.
