--- a/bound/memory.go
+++ b/bound/memory.go
@@ -8,16 +8,16 @@
 	"sync/atomic"
 )
 
-// ErrTooLong is returned for a response that exceeds its bounds.
+// ErrTooLong is returned for a response or message that exceeds its bounds.
 var ErrTooLong = errors.New("the answer is too long")
 
-// ErrNoMemory is returned if a memory budget has no room for a response.
+// ErrNoMemory is returned if a memory budget has no room for a response or message.
 var ErrNoMemory = errors.New("there is no memory for the answer")
 
-// FreeBytes is the part of each body that is not charged to a memory budget, so that small responses can be read even if the budget is exhausted.
+// FreeBytes is the part of each body or message that is not charged to a memory budget, so that small responses can be read even if the budget is exhausted.
 const FreeBytes = 32 << 10
 
-// Memory is a budget for the memory of all responses that are being received.
+// Memory is a budget for the memory of all responses or messages that are being received.
 type Memory struct {
 	free atomic.Int64
 }
--- a/mock/broken.go
+++ b/mock/broken.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// brokenLines are malformed header lines and status lines, by what is wrong with them.
+// brokenLines are malformed lines of a header, by what is wrong with them.
 var brokenLines = map[string]string{
 	"space inside a name":                  "X Field: x",
 	"space after a name":                   "X-Field : x",
--- a/mock/process.go
+++ b/mock/process.go
@@ -20,6 +20,8 @@
 	peakPrefix = "peak memory in bytes: "
 	// maxMeasured is the memory in bytes at which a child stops, so that a failing test doesn't fill the machine.
 	maxMeasured = 1 << 30
+	// childTimeout is the time after which a child that hangs is ended, far above what any takes.
+	childTimeout = "5m"
 )
 
 // PeakMemory runs the test with the given name again in a process of its own, where this function calls work with the argument, and returns the peak of the Go runtime's memory in bytes above that at the start of work. The process ends early if the peak exceeds a gigabyte. It must be called at the same point in each run.
@@ -45,7 +47,7 @@
 	for i, name := range names {
 		names[i] = "^" + regexp.QuoteMeta(name) + "$"
 	}
-	child := exec.Command(program, "-test.run", strings.Join(names, "/"))
+	child := exec.Command(program, "-test.run", strings.Join(names, "/"), "-test.timeout", childTimeout)
 	child.Env = append(os.Environ(), envMeasuredTest+"="+test, envArgument+"="+argument)
 	out, err := child.CombinedOutput()
 	if err != nil {
--- a/strict/scan.go
+++ b/strict/scan.go
@@ -32,6 +32,7 @@
 	afterChunkSize
 	inChunkExtension
 	inChunk
+	// afterChunk is the line break that ends a chunk.
 	afterChunk
 )
 
@@ -63,7 +64,8 @@
 	major, minor byte
 	status       int
 	inTrailer    bool
-	fields       int
+	// fields is the number of fields of the header or trailer so far.
+	fields int
 	// name and value are the current field's, up to maxKeptName and maxKeptValue bytes.
 	name, value []byte
 	chunked     bool
