mock, soak: recorded seeds draw from the same endless parts as before

The part for field names came in the middle of mock.EndlessParts, so that the soak's seeds, those in KNOWN-RED.txt among them, played other faults. It is the last one now, and the soak draws from the first eleven.

--- a/mock/endless.go
+++ b/mock/endless.go
@@ -45,8 +45,9 @@
 
 // EndlessParts lists all parts of a response that can be endless.
 var EndlessParts = []EndlessPart{
-	EndlessStatus, EndlessHeaderField, EndlessHeader, EndlessFieldNames, EndlessInterim, EndlessBody, EndlessContentLength,
+	EndlessStatus, EndlessHeaderField, EndlessHeader, EndlessInterim, EndlessBody, EndlessContentLength,
 	EndlessChunks, EndlessChunkSize, EndlessChunkExtension, EndlessTrailer, EndlessAfterResponse,
+	EndlessFieldNames,
 }
 
 // signedHead is the beginning of a response that carries the request's id and a valid signature; both are filled in when it is sent.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,9 @@
 // fixedSeeds are the seeds that the test runs unless one is given by flag. A seed that finds a failure is added here with a comment on its cause.
 var fixedSeeds = []uint64{1, 2}
 
+// endlessParts is the number of mock.EndlessParts that a run draws from. It stays as it is, since another one would change what recorded seeds play.
+const endlessParts = 11
+
 // exchange is one request of a caller and its outcome as seen by the caller.
 type exchange struct {
 	id, path string
@@ -162,7 +165,7 @@
 	// endless makes a random target send responses without end for the duration.
 	endless := func(slow bool) func(*rand.Rand, time.Duration) {
 		return func(r *rand.Rand, d time.Duration) {
-			p := &mock.EndlessResponse{Part: mock.EndlessParts[r.IntN(len(mock.EndlessParts))], Slow: slow}
+			p := &mock.EndlessResponse{Part: mock.EndlessParts[r.IntN(endlessParts)], Slow: slow}
 			t := randomTarget(r)
 			during(d, func() { t.Endless.Store(p) }, func() { t.Endless.Store(nil) })
 		}
