coord: a refusal of another host is no promise after a run

What callers saw: 429, which says that a request has not run and never will, for requests that a target had run.

Cause: a host that loses its way to the targets passes its open requests on to another host and returned that host's answer whatever it was. The other host's refusal is true for itself only.

TestRefusalAfterARunIsNoPromise failed before.

--- a/coord/failover.go
+++ b/coord/failover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -79,10 +80,25 @@
 			return a
 		}
 	}
-	if b := c.failOver(ctx, r, c.clock.Now()); b != nil {
-		return b
+	b := c.failOver(ctx, r, c.clock.Now())
+	if b == nil || (!a.Fault.NotRun() && promisesNotRun(b)) {
+		// The other host speaks for itself only: the request may have run at a target of this one.
+		return a
+	}
+	return b
+}
+
+// promisesNotRun reports whether an answer tells the caller that its request has not run.
+func promisesNotRun(a *relay.Answer) bool {
+	if a.Fault != nil {
+		return a.Fault.NotRun()
+	}
+	switch a.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
 	}
-	return a
 }
 
 // declineWithoutPath returns the answer to another host's request while this host has no way to the targets.
--- a/coord/failover_test.go
+++ b/coord/failover_test.go
@@ -179,3 +179,28 @@
 	require.Equal(t, []string{"h01"}, f.asked)
 	require.Zero(t, f.ownRuns)
 }
+
+// TestRefusalAfterARunIsNoPromise guards against a caller that is told that its request has not run, because the host that took it over refused it, while the first host had sent it to a target before it lost its way.
+func TestRefusalAfterARunIsNoPromise(t *testing.T) {
+	ran := fault.New(fault.NoReplica, "this host has lost its way to the targets")
+	ran.Ran = true
+	notRun := fault.New(fault.NoReplica, "this host has lost its way to the targets")
+	for _, status := range []int{408, 421, 429, 503} {
+		for own, passedOn := range map[*fault.Error]bool{ran: false, notRun: true} {
+			f := newFailoverFixture(t)
+			f.answers["h01"] = &relay.Answer{Status: status}
+			f.AnswerLocally = func(context.Context, *relay.Request) *relay.Answer {
+				f.SetFailoverHosts(f.hosts())
+				return &relay.Answer{Fault: own, PathLost: true, AttemptsUsed: 1}
+			}
+			a := f.request("/any/x")
+			require.Equal(t, []string{"h01"}, f.asked)
+			if passedOn {
+				require.Equal(t, status, a.Status)
+				continue
+			}
+			require.NotNil(t, a.Fault, "status %d is a promise", status)
+			require.False(t, a.Fault.NotRun())
+		}
+	}
+}
