--- a/mock/endless.go
+++ b/mock/endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -55,42 +56,42 @@
 
 // payload returns the text that a response begins with and the text that is repeated after it.
 // The former may hold the placeholders {id}, {signature}, {length} and {body}.
-func (s EndlessPart) payload() (prefix, repeated string) {
+func (s EndlessPart) payload() (prefix string, repeated []byte) {
 	switch s {
 	case EndlessStatus:
-		return "HTTP/1.1 200 ", "OK"
+		return "HTTP/1.1 200 ", []byte("OK")
 	case EndlessHeaderField:
-		return signedHead + "X-Field: ", "x"
+		return signedHead + "X-Field: ", []byte("x")
 	case EndlessHeader:
-		return signedHead, "X-Field: x\r\n"
+		return signedHead, []byte("X-Field: x\r\n")
 	case EndlessFieldNames:
 		return signedHead, manyFieldNames()
 	case EndlessInterim:
-		return "", "HTTP/1.1 103 Early Hints\r\nX-Field: x\r\n\r\n"
+		return "", []byte("HTTP/1.1 103 Early Hints\r\nX-Field: x\r\n\r\n")
 	case EndlessContentLength:
-		return signedHead + "Content-Length: 1000000000000\r\n\r\n", "records"
+		return signedHead + "Content-Length: 1000000000000\r\n\r\n", []byte("records")
 	case EndlessChunks:
-		return signedHead + "Transfer-Encoding: chunked\r\n\r\n", "40\r\n" + strings.Repeat("x", 0x40) + "\r\n"
+		return signedHead + "Transfer-Encoding: chunked\r\n\r\n", []byte("40\r\n" + strings.Repeat("x", 0x40) + "\r\n")
 	case EndlessChunkSize:
-		return signedHead + "Transfer-Encoding: chunked\r\n\r\n", "0"
+		return signedHead + "Transfer-Encoding: chunked\r\n\r\n", []byte("0")
 	case EndlessChunkExtension:
-		return signedHead + "Transfer-Encoding: chunked\r\n\r\n4;", "x"
+		return signedHead + "Transfer-Encoding: chunked\r\n\r\n4;", []byte("x")
 	case EndlessTrailer:
-		return signedHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: x\r\n"
+		return signedHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", []byte("X-Field: x\r\n")
 	case EndlessAfterResponse:
-		return signedHead + "Content-Length: {length}\r\n\r\n{body}", "more"
+		return signedHead + "Content-Length: {length}\r\n\r\n{body}", []byte("more")
 	default:
-		return signedHead + "\r\n", "records"
+		return signedHead + "\r\n", []byte("records")
 	}
 }
 
 // manyFieldNames returns fields with different names, more than any head may hold. All responses share one text.
-var manyFieldNames = sync.OnceValue(func() string {
+var manyFieldNames = sync.OnceValue(func() []byte {
 	var b strings.Builder
 	for i := range 1 << 18 {
 		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
 	}
-	return b.String()
+	return []byte(b.String())
 })
 
 // EndlessResponse is a response of which one part never ends.
@@ -120,39 +121,27 @@
 	return nil
 }
 
-// writeRepeatedly writes a text over and over until the client closes the connection.
-func (p EndlessResponse) writeRepeatedly(c net.Conn, text string) {
+// writeRepeatedly writes a text over and over until the client closes the connection. It allocates nothing per write, since tests count the memory of the whole process.
+func (p EndlessResponse) writeRepeatedly(c net.Conn, text []byte) {
 	if !p.Slow {
 		block := text
 		if len(text) < writeSize {
-			block = strings.Repeat(text, writeSize/len(text))
+			block = bytes.Repeat(text, writeSize/len(text))
 		}
 		for {
-			if err := writeInParts(c, block); err != nil {
+			if _, err := c.Write(block); err != nil {
 				return
 			}
 		}
 	}
 	for i := 0; ; i++ {
-		if _, err := io.WriteString(c, text[i%len(text):i%len(text)+1]); err != nil {
+		if _, err := c.Write(text[i%len(text) : i%len(text)+1]); err != nil {
 			return
 		}
 		time.Sleep(time.Second)
 	}
 }
 
-// writeInParts writes a text in parts of up to writeSize bytes, since each write copies its part.
-func writeInParts(c net.Conn, text string) error {
-	for len(text) > 0 {
-		n := min(len(text), writeSize)
-		if _, err := io.WriteString(c, text[:n]); err != nil {
-			return err
-		}
-		text = text[n:]
-	}
-	return nil
-}
-
 // EndlessServer is a test double of a host or a store that answers each request with an endless response.
 type EndlessServer struct {
 	Address  netip.AddrPort
