build, cmds, front, host: a run names the build that it ran

The start line of a host and `kingcupcross version` now name the build: the revision where the go command has stamped it, else the content part of the Go build ID, which `go tool buildid` prints for a file.

--- a/cmds/fleet_test.go
+++ b/cmds/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupcross/apiv1"
+	"kingcupcross/build"
 	"kingcupcross/fault"
 	"kingcupcross/shard"
 	"kingcupcross/store"
@@ -162,5 +164,5 @@
 	}
 	code, out, _ := runCommand("version")
 	require.Equal(t, ExitOK, code)
-	require.Contains(t, out, Version)
+	require.Equal(t, fmt.Sprintf("kingcupcross %s, build %s\n", build.Version, build.ID()), out)
 }
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -6,14 +6,12 @@
 
 	"github.com/alecthomas/kong"
 
+	"kingcupcross/build"
 	"kingcupcross/conf"
 	"kingcupcross/front"
 	"kingcupcross/host"
 )
 
-// Version is the version of the program.
-const Version = "0.1.0"
-
 // Root declares all commands of the program.
 type Root struct {
 	Host     HostCmd     `cmd:"" help:"Run one entry host."`
@@ -30,7 +28,7 @@
 	Losses   LossesCmd   `cmd:"" help:"Sum what hosts' logs say of answers that were late, refused, failed or left shards out, by reason."`
 	Load     LoadCmd     `cmd:"" help:"Send queries at random times and report latency, coverage, extra load and refusals."`
 	Docs     DocsCmd     `cmd:"" hidden:"" help:"Print a generated page."`
-	Version  VersionCmd  `cmd:"" help:"Print the version."`
+	Version  VersionCmd  `cmd:"" help:"Print the version and the build."`
 }
 
 // Progress is the writer for progress and warnings, which are kept apart from a command's results.
@@ -101,11 +99,11 @@
 	return f.Run()
 }
 
-// VersionCmd prints the program's version.
+// VersionCmd prints the program's version and its build.
 type VersionCmd struct{}
 
-// Run prints the version.
+// Run prints the version and the build.
 func (c *VersionCmd) Run(out io.Writer) error {
-	_, err := fmt.Fprintln(out, "kingcupcross", Version)
+	_, err := fmt.Fprintf(out, "kingcupcross %s, build %s\n", build.Version, build.ID())
 	return err
 }
--- a/front/front.go
+++ b/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"kingcupcross/build"
 	"kingcupcross/conf"
 	"kingcupcross/coord"
 	"kingcupcross/follow"
@@ -206,7 +207,7 @@
 	f.addLoop(&group, func(ctx context.Context) error { return f.follow.RunFeed(ctx, f.newFeed()) })
 	f.addLoop(&group, func(ctx context.Context) error { return f.follow.RunFallbacks(ctx, f.newFeed()) })
 	f.addGracefulStop(&group, callers, hosts)
-	f.log.Info("host started", zap.Any("settings", f.conf))
+	f.log.Info("host started", zap.String("version", build.Version), zap.String("build", build.ID()), zap.Any("settings", f.conf))
 	err := group.Run()
 	f.log.Info("host stopped", zap.Error(err))
 	return err
--- a/host/host.go
+++ b/host/host.go
@@ -15,6 +15,7 @@
 
 	"kingcupcross/admin"
 	"kingcupcross/board"
+	"kingcupcross/build"
 	"kingcupcross/conf"
 	"kingcupcross/entry"
 	"kingcupcross/keeper"
@@ -129,7 +130,7 @@
 	h.addLoop(&group, h.book.DeleteExpiredClaims)
 	h.addLoop(&group, h.keeper.Run)
 	h.addStopActor(&group)
-	h.log.Info("host started", zap.String("id", h.board.Self.String()))
+	h.log.Info("host started", zap.String("version", build.Version), zap.String("build", build.ID()), zap.String("id", h.board.Self.String()))
 	err := group.Run()
 	h.log.Info("host stopped", zap.Error(err))
 	return err
