platform, front, meter: each request that ends with a 3xx or 4xx is counted by what decided it

Statuses that are passed on (of targets, with or without a signature, and of other hosts) and bodies that can't be read left no count and no cause.

front_rejected{kind,status,from} counts all of them where the status is written, for callers and for other hosts.

--- a/cmds/metrics_test.go
+++ b/cmds/metrics_test.go
@@ -46,7 +46,7 @@
 		switch name {
 		case "limits_share":
 			created["relay_"+name] = true
-		case "cut_off", "accept_failures", "path_lost":
+		case "cut_off", "accept_failures", "path_lost", "rejected":
 			created["front_"+name] = true
 		case "calls":
 			created["store_"+name] = true
--- a/front/front.go
+++ b/front/front.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,6 +21,7 @@
 	"kingcupcross/build"
 	"kingcupcross/conf"
 	"kingcupcross/coord"
+	"kingcupcross/fault"
 	"kingcupcross/follow"
 	"kingcupcross/logs"
 	"kingcupcross/meter"
@@ -252,6 +254,7 @@
 			MaxBody:          f.maxBody,
 			CloseConnections: f.divertsCallers,
 			AcceptForwarded:  forwarded,
+			OnRejected:       func(r platform.Rejection) { f.reportRejection(r, forwarded) },
 		},
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -259,6 +262,23 @@
 	}
 }
 
+// reportRejection counts a request that ends with a status from 300 to 499 by what decided it, and logs it unless the status promises callers that a repeat may succeed, which the engine logs.
+func (f *Front) reportRejection(r platform.Rejection, forwarded bool) {
+	from := "caller"
+	if forwarded {
+		from = "host"
+	}
+	f.meter.Scope.SubScope("front").Tagged(map[string]string{"kind": r.Kind(), "status": strconv.Itoa(r.Status), "from": from}).Counter("rejected").Inc(1)
+	if fault.PromisesNotRun(r.Status) {
+		return
+	}
+	cause := ""
+	if r.Fault != nil {
+		cause = r.Fault.Text
+	}
+	f.log.Info("request rejected", zap.String("request", r.RequestID), zap.Int("status", r.Status), zap.String("kind", r.Kind()), zap.String("from", from), zap.String("cause", cause))
+}
+
 // maxBody returns the limit for the bodies of requests, zero before the first configuration.
 func (f *Front) maxBody() int64 {
 	if c := f.follow.Config(); c != nil {
