poison: hosts take over the ends of others' trials when many targets have ended

Targets that it ended were away from other requests.

Cause: a host keeps 16 ends for a request, and ends told by others replaced none. After a first copy that ends more, no host heard of another one's trial: none kept the pause after it, and each tried the request for itself.

The end of a trial now takes the place of an end outside trials, and of a trial that is at least a pause older. Ends outside trials still replace none, so that telling ends.

Test: poison TestTrialIsToldWhereManyTargetsHaveEnded, failed before ("trial 0, host 1: should be false").

--- a/poison/exchange.go
+++ b/poison/exchange.go
@@ -118,7 +118,7 @@
 	for _, c := range record.Crashes {
 		// To hosts of earlier versions any retry is a trial. They don't set Tried.
 		proven := c.Trial && c.Tried
-		learned = r.addCrash(record.Digest, e, crash{target: c.Target, tried: c.Tried, proven: proven, at: now.Add(-c.Age)}) || learned
+		learned = r.addCrash(record.Digest, e, crash{target: c.Target, tried: c.Tried, proven: proven, at: now.Add(-c.Age)}, false) || learned
 		learned = (proven && e.prove(c.Target)) || learned
 	}
 	learned = e.learnClaim(record, now) || learned
--- a/poison/registry.go
+++ b/poison/registry.go
@@ -319,13 +319,11 @@
 		return Harmless
 	}
 	e := r.entryOf(d, now)
-	if len(e.crashes) == maxCrashes && e.state(now) != Quarantined {
-		// The new ones decide about the next quarantine. Those that other hosts report replace none, or hosts with different ones would tell each other for ever.
-		e.crashes = slices.Clone(e.crashes[min(len(targets), maxCrashes):])
-	}
+	// The new ones decide about the next quarantine.
+	replace := e.state(now) != Quarantined
 	added := false
 	for _, p := range targets {
-		added = r.addCrash(d, e, crash{target: p, tried: tried, at: now}) || added
+		added = r.addCrash(d, e, crash{target: p, tried: tried, at: now}, replace) || added
 	}
 	if added {
 		r.noteChange(e)
@@ -395,8 +393,8 @@
 	return false
 }
 
-// addCrash adds a crash to an entry and reports whether it is new. A crash that a quarantined request explains doesn't count against others. The caller must hold r.mu.
-func (r *Registry) addCrash(d Digest, e *entry, c crash) bool {
+// addCrash adds a crash to an entry and reports whether it is new; replace says whether it may always take the place of an older one. A crash that a quarantined request explains doesn't count against others. The caller must hold r.mu.
+func (r *Registry) addCrash(d Digest, e *entry, c crash, replace bool) bool {
 	if !c.at.After(e.clearedAt) || e.hasCrash(c.target) || slices.ContainsFunc(e.refuted, c.target.Equal) {
 		return false
 	}
@@ -405,13 +403,31 @@
 			return false
 		}
 	}
-	if len(e.crashes) == maxCrashes {
+	if len(e.crashes) >= maxCrashes && !e.makeRoom(c, replace) {
 		return false
 	}
 	e.crashes = append(e.crashes, c)
 	return true
 }
 
+// makeRoom drops a crash in favour of a new one and reports whether it has. The oldest one outside trials goes first. Unless replace is set, only a trial takes the place of another crash, and that of another trial only if it is certainly later: hosts that remember different crashes would tell each other for ever.
+func (e *entry) makeRoom(c crash, replace bool) bool {
+	if !c.tried && !replace {
+		return false
+	}
+	oldest := -1
+	for i, other := range e.crashes {
+		if oldest < 0 || (e.crashes[oldest].tried && !other.tried) || (e.crashes[oldest].tried == other.tried && other.at.Before(e.crashes[oldest].at)) {
+			oldest = i
+		}
+	}
+	if dropped := e.crashes[oldest]; dropped.tried && !replace && c.at.Sub(dropped.at) < firstPause {
+		return false
+	}
+	e.crashes = slices.Delete(e.crashes, oldest, oldest+1)
+	return true
+}
+
 // quarantineIfProven quarantines a request if enough targets have ended under it, one of them in a proven trial since the latest quarantine began. The caller must hold r.mu.
 func (r *Registry) quarantineIfProven(d Digest, e *entry, now time.Time) {
 	// Each quarantine needs a trial of its own.
--- a/poison/verdict_test.go
+++ b/poison/verdict_test.go
@@ -168,6 +168,37 @@
 	require.True(t, begun)
 }
 
+// TestTrialIsToldWhereManyTargetsHaveEnded guards against each host trying a deadly request in turn without a pause after it has ended more targets than are remembered, because the hosts don't take over that another one's trial has ended a target.
+func TestTrialIsToldWhereManyTargetsHaveEnded(t *testing.T) {
+	h := newHosts(4)
+	for i, r := range h.registries {
+		var ids []string
+		for n := range maxCrashes {
+			ids = append(ids, fmt.Sprint(i, "/", n))
+		}
+		r.RecordCrashes(digest(1), targets(ids...), false)
+	}
+	require.LessOrEqual(t, h.exchangeSlowly(time.Millisecond), 3)
+	for n := range 3 * maxCrashes {
+		h.clock.Advance(2 * maxPause)
+		tried := targets(fmt.Sprint("trial ", n))
+		h.registries[n%4].RecordCrashes(digest(1), tried, true)
+		require.LessOrEqual(t, h.exchangeSlowly(time.Millisecond), 3)
+		for i, r := range h.registries {
+			wait, begun := r.BeginTrial(digest(1), 2)
+			require.False(t, begun, "trial %d, host %d", n, i)
+			require.Positive(t, wait)
+			require.LessOrEqual(t, len(r.Crashed(digest(1))), maxCrashes)
+			require.Contains(t, r.Crashed(digest(1)), tried[0])
+		}
+		// What a host has dropped doesn't come back with the reminders of others.
+		for i, r := range h.registries {
+			h.registries[(i+1)%4].Learn(r.Records())
+		}
+		require.LessOrEqual(t, h.exchangeSlowly(time.Millisecond), 1)
+	}
+}
+
 // TestTrialClaimedByTwoHostsIsSentByOne guards against two hosts that claim a trial at the same moment both sending it, or neither.
 func TestTrialClaimedByTwoHostsIsSentByOne(t *testing.T) {
 	for range 20 {
