poison: trials that prove nothing count towards the length of the quarantine

Traced with the lines of failed runs, four processes at a time (load average 16): a first trial at the last target of the service ends it under a page of another caller too, which nobody answers, and so proves nothing (`the target ended under another request as well`). The next trial is proven, and the first quarantine of two to three seconds is followed by one more: two targets under the first copy, and three trials.

Two trials in which a target has ended, one of them proven, now begin with the second quarantine, six to nine seconds, as two proven ones did. Further trials that prove nothing don't make it longer, so that a page whose trials were all hit by something else waits no more than that.

--- a/poison/registry.go
+++ b/poison/registry.go
@@ -132,13 +132,8 @@
 	if e.answeredLately(now) {
 		longest = 2 * firstPause
 	}
-	var latestTrial time.Time
-	for _, c := range crashes[min(minCrashes-1, len(crashes)):] {
-		// Hosts that try a request at the same time make one trial.
-		if c.tried && c.at.Sub(latestTrial) >= firstPause {
-			pause = min(2*pause, longest)
-			latestTrial = c.at
-		}
+	for range countTrials(crashes[min(minCrashes-1, len(crashes)):]) {
+		pause = min(2*pause, longest)
 	}
 	pause += time.Duration(e.pauseSpread * float64(pause))
 	return crashes[len(crashes)-1].at.Add(pause)
@@ -435,17 +430,17 @@
 	if len(e.crashes) < minCrashes || !proven || now.Before(e.quarantineEnd) {
 		return
 	}
-	// A request whose first trials were proven before enough targets had ended skips as many quarantines.
-	n := max(e.quarantines+1, e.provenTrials())
+	// Two trials in which a target has ended, of which one is proven, are worth the second quarantine. Further ones that prove nothing are not worth more.
+	n := max(e.quarantines+1, min(countTrials(e.byTime()), 2))
 	r.quarantine(d, e, n, now, now.Add(quarantineLength(n)), "here")
 }
 
-// provenTrials returns the number of proven trials of a request. Hosts that try it at the same time make one.
-func (e *entry) provenTrials() int {
+// countTrials returns the number of trials among crashes that are ordered by time. Hosts that try a request at the same time make one.
+func countTrials(crashes []crash) int {
 	n := 0
 	var latest time.Time
-	for _, c := range e.byTime() {
-		if c.proven && c.at.Sub(latest) >= firstPause {
+	for _, c := range crashes {
+		if c.tried && c.at.Sub(latest) >= firstPause {
 			n++
 			latest = c.at
 		}
--- a/poison/verdict_test.go
+++ b/poison/verdict_test.go
@@ -105,6 +105,25 @@
 	require.GreaterOrEqual(t, r.QuarantineRemaining(digest(1)), quarantineFactor*firstQuarantine)
 }
 
+// TestUnprovenTrialsCountTowardsTheFirstQuarantine guards against a deadly request taking a target more, after two or three seconds, because a trial before the proven one had ended a target under another request as well. A page whose trials were all hit by something else doesn't wait longer than after one.
+func TestUnprovenTrialsCountTowardsTheFirstQuarantine(t *testing.T) {
+	for _, unproven := range []int{0, 1, 4} {
+		h := newHosts(1)
+		r := h.registries[0]
+		r.RecordCrashes(digest(1), targets("a", "b"), false)
+		for n := range unproven {
+			h.clock.Advance(maxPause)
+			r.RecordCrashes(digest(1), targets(fmt.Sprint("unproven ", n)), true)
+		}
+		h.clock.Advance(maxPause)
+		r.RecordCrashes(digest(1), targets("proven"), true)
+		require.Equal(t, Quarantined, r.Prove(digest(1), targets("proven")[0]))
+		length := quarantineLength(1 + min(unproven, 1))
+		require.GreaterOrEqual(t, r.QuarantineRemaining(digest(1)), length)
+		require.LessOrEqual(t, r.QuarantineRemaining(digest(1)), length+length/2)
+	}
+}
+
 // TestSharedEndProvesNothing guards against a caller who has a page of others refused by crashing its targets with requests of its own while the page is being tried.
 func TestSharedEndProvesNothing(t *testing.T) {
 	h := newHosts(2)
