--- a/relay/bystander_test.go
+++ b/relay/bystander_test.go
@@ -112,6 +112,25 @@
 	g.engines[n] = e
 }
 
+// setOneService sets a route to one service with seven targets, which work for some time on each request.
+func (g *hostGroup) setOneService(idempotent bool, work time.Duration) {
+	g.setConfig(map[string]route.Service{"one": {Name: "one", Conns: 110}}, route.Route{
+		Name:       "one",
+		Host:       "h",
+		Prefix:     "/one/",
+		Idempotent: idempotent,
+		Timeout:    2500 * time.Millisecond,
+		Aim:        time.Second,
+		Attempts:   2,
+		Shares:     g.onlyService("one"),
+	})
+	g.restartWork = work
+	for i := range 7 {
+		id := g.addTarget("one", i%3, nil)
+		g.behaviours[id] = answersAfter(work, id)
+	}
+}
+
 // ask sends a request to the nth host.
 func (g *hostGroup) ask(n int, method, path string) *Answer {
 	hosts := g.hosts()
@@ -160,6 +179,13 @@
 	}
 }
 
+// servedCount returns the number of answers so far.
+func (o *outcomes) servedCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.served
+}
+
 // TestPageBesideCrashesIsNotRefused guards against a page that many callers ask for being refused after its targets have crashed for another reason, with 400 at any time, or at all once the targets are back.
 func TestPageBesideCrashesIsNotRefused(t *testing.T) {
 	for _, tt := range []struct {
@@ -207,20 +233,7 @@
 					}
 					g.delegating = tt.delegated
 				} else {
-					g.setConfig(map[string]route.Service{"one": {Name: "one", Conns: 110}}, route.Route{
-						Name:       "one",
-						Host:       "h",
-						Prefix:     "/one/",
-						Idempotent: !tt.orders,
-						Timeout:    2500 * time.Millisecond,
-						Aim:        time.Second,
-						Attempts:   2,
-						Shares:     g.onlyService("one"),
-					})
-					for i := range 7 {
-						id := g.addTarget("one", i%3, nil)
-						g.behaviours[id] = answersAfter(tt.work, id)
-					}
+					g.setOneService(!tt.orders, tt.work)
 				}
 				g.restartWork = tt.work
 				method := "GET"
@@ -296,21 +309,7 @@
 // TestDeadlyRequestsBesideAPageDontHaveItRefused guards against a caller who has the page of others refused by crashing targets with requests of its own, each of another content, while the page runs there.
 func TestDeadlyRequestsBesideAPageDontHaveItRefused(t *testing.T) {
 	withHostGroup(t, func(g *hostGroup) {
-		g.setConfig(map[string]route.Service{"one": {Name: "one", Conns: 110}}, route.Route{
-			Name:       "one",
-			Host:       "h",
-			Prefix:     "/one/",
-			Idempotent: true,
-			Timeout:    2500 * time.Millisecond,
-			Aim:        time.Second,
-			Attempts:   2,
-			Shares:     g.onlyService("one"),
-		})
-		g.restartWork = 250 * time.Millisecond
-		for i := range 7 {
-			id := g.addTarget("one", i%3, nil)
-			g.behaviours[id] = answersAfter(g.restartWork, id)
-		}
+		g.setOneService(true, 250*time.Millisecond)
 		var page outcomes
 		var callers sync.WaitGroup
 		for n := range 600 {
@@ -376,74 +375,65 @@
 	}
 }
 
+// repeatDeadly has callers ask for a deadly page for some time, then mends the page and has them go on for longer. Targets that have ended are back every three seconds. It returns what callers got before and after, the number of targets that ended later than settled after the third one, and the time from the mending to the first answer.
+func (g *hostGroup) repeatDeadly(lasts, longer, settled time.Duration) (before, after *outcomes, late int, servedAfter time.Duration) {
+	before, after = &outcomes{}, &outcomes{}
+	const period = 50 * time.Millisecond
+	restarts := int(3 * time.Second / period)
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	var third, mended time.Time
+	endsWhenSettled := -1
+	for n := range int((lasts + longer) / period) {
+		if n%restarts == 0 {
+			g.restart()
+		}
+		g.mu.Lock()
+		now := time.Now()
+		if g.ends >= 3 && third.IsZero() {
+			third = now
+		}
+		if endsWhenSettled < 0 && !third.IsZero() && now.Sub(third) >= settled {
+			endsWhenSettled = g.ends
+		}
+		if mended.IsZero() && n >= int(lasts/period) {
+			g.mended, mended = true, now
+		}
+		if endsWhenSettled >= 0 {
+			late = g.ends - endsWhenSettled
+		}
+		g.mu.Unlock()
+		o := before
+		if !mended.IsZero() {
+			o = after
+		}
+		callers.Go(func() { o.count(g.ask(n, "GET", "/one/"+deadlyMark)) })
+		time.Sleep(period)
+		if servedAfter == 0 && after.servedCount() > 0 {
+			servedAfter = time.Since(mended)
+		}
+	}
+	return before, after, late, servedAfter
+}
+
 // TestPageIsServedSecondsAfterAnyVerdict guards against callers of a page staying away for good, or for minutes or hours, because each of its runs so far was hit when a target ended: they get no final status, and the page is served seconds after targets go on. Until then few of its copies reach targets.
 func TestPageIsServedSecondsAfterAnyVerdict(t *testing.T) {
 	const (
 		// longestRefusal is the longest time for which one verdict has copies refused.
 		longestRefusal = 30 * time.Second
-		// stable is the time after which all hosts know the request, and maxLateRuns the number of copies that may reach targets from then on while it ends them, in the length of a day.
-		stable      = 4 * time.Second
-		maxLateRuns = 3
+		// settled is the time after the third end from which all hosts know the request, and maxLate the number of copies that may still end targets.
+		settled = 4 * time.Second
+		maxLate = 3
 	)
 	for _, idempotent := range []bool{true, false} {
 		for _, lasts := range []time.Duration{5 * time.Second, 15 * time.Second, 34 * time.Second} {
-			t.Run(fmt.Sprint(idempotent, lasts), func(t *testing.T) {
+			t.Run(fmt.Sprintf("idempotent %t, for %s", idempotent, lasts), func(t *testing.T) {
 				withHostGroup(t, func(g *hostGroup) {
-					g.setConfig(map[string]route.Service{"one": {Name: "one", Conns: 110}}, route.Route{
-						Name:       "one",
-						Host:       "h",
-						Prefix:     "/one/",
-						Idempotent: idempotent,
-						Timeout:    2500 * time.Millisecond,
-						Aim:        time.Second,
-						Attempts:   2,
-						Shares:     g.onlyService("one"),
-					})
-					g.restartWork = 250 * time.Millisecond
-					for i := range 7 {
-						id := g.addTarget("one", i%3, nil)
-						g.behaviours[id] = answersAfter(g.restartWork, id)
-					}
-					var before, after outcomes
-					var callers sync.WaitGroup
-					var late int
-					var known, mended time.Time
-					var servedAfter time.Duration
-					start := time.Now()
-					for n := 0; time.Since(start) < lasts+longestRefusal+2*time.Second; n++ {
-						if n%60 == 0 {
-							g.restart()
-						}
-						g.mu.Lock()
-						if g.ends >= 3 && known.IsZero() {
-							known = time.Now().Add(stable)
-						}
-						if late == 0 && !known.IsZero() && time.Now().After(known) {
-							late = -g.ends
-						}
-						if mended.IsZero() && time.Since(start) >= lasts {
-							g.mended, mended = true, time.Now()
-						}
-						g.mu.Unlock()
-						o := &before
-						if !mended.IsZero() {
-							o = &after
-						}
-						callers.Go(func() { o.count(g.ask(n, "GET", "/one/"+deadlyMark)) })
-						time.Sleep(50 * time.Millisecond)
-						after.mu.Lock()
-						if after.served > 0 && servedAfter == 0 {
-							servedAfter = time.Since(mended)
-						}
-						after.mu.Unlock()
-					}
-					callers.Wait()
-					if late != 0 {
-						late += g.ends
-					}
+					g.setOneService(idempotent, 250*time.Millisecond)
+					before, after, late, servedAfter := g.repeatDeadly(lasts, longestRefusal+2*time.Second, settled)
 					require.Zero(t, before.denied, "the latest fault is %v", before.lastFault)
 					require.Zero(t, after.denied, "the latest fault is %v", after.lastFault)
-					require.LessOrEqual(t, late, maxLateRuns)
+					require.LessOrEqual(t, late, maxLate)
 					require.Positive(t, after.served)
 					require.LessOrEqual(t, servedAfter, longestRefusal)
 				})
