--- a/meter/names.go
+++ b/meter/names.go
@@ -73,7 +73,7 @@
 	{Name: "follow_feed_failures", Kind: Counter, Help: "questions to other hosts for their views without an answer"},
 	{Name: "follow_feed_repeated", Kind: Counter, Help: "answers of other hosts that changed nothing, since this host deviates from them on purpose; each is followed by a pause"},
 	{Name: "follow_feed_stale", Kind: Counter, Help: "answers of other hosts that had lost the store themselves"},
-	{Name: "front_rejected", Kind: Counter, Labels: "kind, status, from", Help: "requests that ended with a status from 300 to 499, by what decided it: a kind of refusal of API.md, a target (its signed status), or another host or a target without a signature (unsigned); from callers or from other hosts (host). Requests that aren't HTTP are answered before and not counted"},
+	{Name: "front_rejected", Kind: Counter, Labels: "kind, status, from", Help: "requests that ended with a status from 300 to 499, by what decided it: a kind of refusal of API.md, a target (its signed status), or another host (unsigned); from callers or from other hosts (host). Requests that aren't HTTP are answered before and not counted"},
 	{Name: "front_accept_failures", Kind: Counter, Help: "connections of other hosts that couldn't be accepted, for lack of descriptors or memory; the host tries again"},
 	{Name: "front_cut_off", Kind: Gauge, Help: "1 while the host is cut off from most data centres, can't serve and sends callers elsewhere"},
 	{Name: "pool_dials", Kind: Counter, Help: "new connections to targets and hosts"},
--- a/relay/bystander_test.go
+++ b/relay/bystander_test.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// takeAddresses has another server take the addresses of some targets.
+func (g *hostGroup) takeAddresses(n int) {
+	entries := g.currentView().Services["one"]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range entries[:n] {
+		g.taken[e.ID] = true
+	}
+}
+
 // outcomes counts what callers got from a time on.
 type outcomes struct {
 	mu             sync.Mutex
@@ -170,8 +180,12 @@
 		o.lastFault = a.Fault
 	}
 	switch {
-	case a.Fault == nil:
+	case a.Fault == nil && a.Status < 300:
 		o.served++
+	case a.Fault == nil && a.Status < 500:
+		o.denied++
+	case a.Fault == nil:
+		o.failed++
 	case fault.Describe(a.Fault.Kind).Status < 500 && a.Fault.Kind != fault.Overload:
 		o.denied++
 	default:
@@ -200,6 +214,8 @@
 		orders  bool
 		// shards has the page come from all shards, delegated with parts that hosts of another data centre answer for.
 		shards, delegated bool
+		// taken is the number of targets whose addresses another server takes until they are back.
+		taken int
 		// restarts has hosts start again while the targets are away.
 		restarts bool
 		work     time.Duration
@@ -213,6 +229,9 @@
 		{name: "shards", gap: 5 * time.Millisecond, waves: 1, shards: true, work: 60 * time.Millisecond},
 		{name: "shards, page alone", gap: time.Millisecond, waves: 2, shards: true, alone: true, unknown: true, work: 60 * time.Millisecond},
 		{name: "parts of other hosts", gap: time.Millisecond, waves: 2, shards: true, delegated: true, work: 60 * time.Millisecond},
+		{name: "another server at an address", gap: 35 * time.Millisecond, waves: 1, taken: 1, work: 250 * time.Millisecond},
+		{name: "another server at most addresses", gap: 35 * time.Millisecond, waves: 2, taken: 5, work: 250 * time.Millisecond},
+		{name: "orders, another server at an address", gap: 35 * time.Millisecond, waves: 1, taken: 1, orders: true, work: 250 * time.Millisecond},
 		{name: "hosts that start", gap: 35 * time.Millisecond, waves: 2, restarts: true, work: 250 * time.Millisecond},
 		{name: "some hundred ms apart", gap: 300 * time.Millisecond, waves: 1, work: 540 * time.Millisecond},
 		{name: "half a second apart", gap: 500 * time.Millisecond, waves: 2, alone: true, work: 540 * time.Millisecond},
@@ -280,6 +299,7 @@
 				}
 				for range tt.waves {
 					g.crashAll(tt.gap)
+					g.takeAddresses(tt.taken)
 					if tt.restarts {
 						for n := range 4 {
 							g.startAgain(n)
--- a/relay/query.go
+++ b/relay/query.go
@@ -381,7 +381,7 @@
 	q.retryAfterFailure(p, notRun)
 }
 
-// recordResult records the result of a sub-request. It reports whether the request certainly did not run at the target, and whether the target has run it and replied.
+// recordResult records the result of a sub-request. It reports whether the request certainly did not run at the target, and whether the target has run it and replied, which only a signature shows.
 func (q *query) recordResult(r result) (notRun, answered bool) {
 	sub := r.sub
 	sub.ended = true
@@ -421,7 +421,7 @@
 	if notRun && r.reply != nil {
 		q.targetRefusals++
 	}
-	return notRun, r.reply != nil && !notRun
+	return notRun, r.reply != nil && !notRun && r.reply.Signature != ""
 }
 
 // openCount returns the number of the part's open sub-requests.
--- a/relay/repeat.go
+++ b/relay/repeat.go
@@ -15,12 +15,12 @@
 	maxRepeats = 2
 )
 
-// isFinal reports whether a reply ends its part: a success, or, for a single-service request, also an error that another target would repeat.
+// isFinal reports whether a reply ends its part: a success, or, for a single-service request, also an error that another target would repeat. An error without a signature is no target's: another server may have taken the address of one that has ended.
 func (q *query) isFinal(r *Reply) bool {
 	if r.Success() {
 		return true
 	}
-	return !q.route.Fanout() && !r.NotRun && !r.WrongTarget && r.Status >= 300 && r.Status < 500 && r.Status != 408 && r.Status != 429
+	return !q.route.Fanout() && r.Signature != "" && !r.NotRun && !r.WrongTarget && r.Status >= 300 && r.Status < 500 && r.Status != 408 && r.Status != 429
 }
 
 // retryAfterFailure asks another target after a failed sub-request, if there is one and the budget allows it. Otherwise, once no sub-request of the part is open, it schedules a retry at a target that was already asked, or marks the part as lost. Both kinds of retry require that the request is idempotent or did not run.
--- a/relay/single_test.go
+++ b/relay/single_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupcross/fault"
+	"kingcupcross/poison"
+	"kingcupcross/roster"
 	"kingcupcross/route"
 )
 
@@ -111,6 +113,39 @@
 	})
 }
 
+// TestUnsignedErrorIsNoAnswer guards against callers getting the 404 of a server that has taken the address of a target which ended, after which they stay away, or its 503, which promises that the request hasn't run: only a signature shows that a target has answered.
+func TestUnsignedErrorIsNoAnswer(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusBadRequest, http.StatusNotFound, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		for _, idempotent := range []bool{true, false} {
+			withCluster(t, func(l *testCluster) {
+				l.setSingleRoute(idempotent, 2)
+				other := l.addTarget("one", 0, func() (time.Duration, *Reply, error) {
+					return time.Millisecond, &Reply{Status: status, Body: []byte("no such page")}, nil
+				})
+				content := contentOf("/one/1")
+				l.engine.poison.Registry.RecordCrashes(content, []roster.Process{{ID: "ended"}}, false)
+				// A suspect is tried after a pause.
+				time.Sleep(2 * time.Second)
+				a, _ := l.request("/one/1")
+				require.NotNil(t, a.Fault, status)
+				require.Equal(t, fault.Failed, a.Fault.Kind)
+				require.False(t, a.Fault.NotRun())
+				require.Equal(t, poison.Suspect, l.engine.poison.Registry.State(content), "an unsigned reply clears nothing")
+				if !idempotent {
+					return
+				}
+				l.addTarget("one", 1, nil)
+				for range 20 {
+					a, _ = l.request("/one/2")
+					require.Nil(t, a.Fault, status)
+					require.Equal(t, http.StatusOK, a.Status)
+				}
+				require.Less(t, l.sentTo(other), 15, "the target that answers is preferred")
+			})
+		}
+	}
+}
+
 // TestRefusals checks the fault without a configuration, without a matching route and without targets.
 func TestRefusals(t *testing.T) {
 	withCluster(t, func(l *testCluster) {
--- a/relay/sub_request.go
+++ b/relay/sub_request.go
@@ -109,7 +109,7 @@
 		return rank.Failed
 	case reply.WrongTarget:
 		return rank.Unreachable
-	case reply.NotRun || reply.Status >= 500 || (reply.Status < 300 && !reply.Success()):
+	case reply.NotRun || reply.Status >= 500 || reply.Signature == "":
 		return rank.Failed
 	default:
 		return rank.Answered
--- a/relay/suspect_test.go
+++ b/relay/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -37,6 +38,8 @@
 	// unconfirmed makes the check of targets find that all go on.
 	unconfirmed bool
 	ended       map[string]bool
+	// taken holds the targets that have ended and whose addresses another server has taken.
+	taken map[string]bool
 	// mended makes deadly requests run like others.
 	mended bool
 	// ends counts the targets that deadly requests have ended.
@@ -50,7 +53,7 @@
 // withEndingTargets runs f with a cluster whose targets end under deadly requests.
 func withEndingTargets(t *testing.T, f func(*endingTargets)) {
 	withCluster(t, func(l *testCluster) {
-		c := &endingTargets{testCluster: l, ended: map[string]bool{}, running: map[string][]chan struct{}{}}
+		c := &endingTargets{testCluster: l, ended: map[string]bool{}, taken: map[string]bool{}, running: map[string][]chan struct{}{}}
 		l.engine.send = c.send
 		l.engine.SetPoisonControl(PoisonControl{
 			Registry: poison.NewRegistry(timer.New(), zap.NewNop(), tally.NoopScope),
@@ -64,6 +67,11 @@
 // send runs a sub-request at a target.
 func (c *endingTargets) send(ctx context.Context, to *roster.Entry, r *Request, s SendOptions) (*Reply, error) {
 	c.mu.Lock()
+	if c.taken[to.ID] {
+		c.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		return &Reply{Status: http.StatusNotFound}, nil
+	}
 	if c.ended[to.ID] {
 		c.mu.Unlock()
 		return nil, &pool.Error{Err: errors.New("refused")}
@@ -119,20 +127,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range targets {
-		if c.ended[t.ID] && !c.unconfirmed {
+		if c.ended[t.ID] && !c.taken[t.ID] && !c.unconfirmed {
 			ended = append(ended, t)
 		}
 	}
 	return ended
 }
 
-// reached returns the targets that go on.
+// reached returns the targets at whose addresses connections are accepted.
 func (c *endingTargets) reached(_ context.Context, targets []*roster.Entry) (alive []*roster.Entry) {
 	time.Sleep(time.Millisecond)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range targets {
-		if !c.ended[t.ID] {
+		if !c.ended[t.ID] || c.taken[t.ID] {
 			alive = append(alive, t)
 		}
 	}
--- a/relay/types.go
+++ b/relay/types.go
@@ -74,7 +74,7 @@
 		return fmt.Sprintf("status %d of another target at its address", r.Status)
 	case r.NotRun:
 		return fmt.Sprintf("status %d, not run", r.Status)
-	case r.Status >= 200 && r.Status < 300:
+	case r.Signature == "":
 		return fmt.Sprintf("status %d without a signature", r.Status)
 	default:
 		return fmt.Sprintf("status %d", r.Status)
