--- /dev/null
+++ b/review/_fleet3/cases.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// comeBack repeats one deadly request at any host, a new attempt about twice a second, until the context ends.
+func comeBack(ctx context.Context, f *fleet, path string, deadline time.Duration) {
+	go f.load(ctx, 2, func(*host) {
+		f.ask(f.hosts[rand.IntN(len(f.hosts))], http.MethodGet, path, nil, deadline)
+	})
+}
+
+// playDeadlyPair has two requests at once that crash the servers which run them.
+func playDeadlyPair(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	if err := begin(f, 7); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	usual(ctx, f)
+	if err := rest(ctx, 8*time.Second); err != nil {
+		return false, err
+	}
+	paths := []string{"/recall" + deadlyMark + "/1", "/schedule" + deadlyMark + "/2"}
+	if trouble {
+		f.note("two requests that crash their servers begin to come")
+		comeBack(ctx, f, paths[0], time.Second)
+		comeBack(ctx, f, paths[1], 800*time.Millisecond)
+	}
+	if err := rest(ctx, 20*time.Second); err != nil {
+		return false, err
+	}
+	cancel()
+	time.Sleep(1500 * time.Millisecond)
+	held := true
+	for _, p := range paths {
+		held = f.judge.deadlyBudget(p) && held
+	}
+	return held, nil
+}
+
+// playDeadlyLong has one request that crashes the servers which run it, and whose caller goes on to send it.
+func playDeadlyLong(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	if err := begin(f, 7); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	usual(ctx, f)
+	if err := rest(ctx, 4*time.Second); err != nil {
+		return false, err
+	}
+	path := "/recall" + deadlyMark + "/1"
+	if trouble {
+		f.note("a request that crashes its servers begins to come")
+		comeBack(ctx, f, path, time.Second)
+	}
+	if err := rest(ctx, 100*time.Second); err != nil {
+		return false, err
+	}
+	cancel()
+	time.Sleep(1500 * time.Millisecond)
+	return f.judge.deadlyBudget(path), nil
+}
+
+// playUnlisted loses the answer to the write with which three of nine hosts register, and executes these writes seconds later. Later a request comes that crashes its servers.
+func playUnlisted(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	var mu sync.Mutex
+	lost := map[string]bool{}
+	if trouble {
+		f.store.late = func(keys []string) (bool, time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, k := range keys {
+				if name, ok := strings.CutPrefix(k, "hosts/"); ok && slices.Contains([]string{"front-aktau-1", "front-aralsk-1", "front-bakanas-1"}, name) && !lost[name] {
+					lost[name] = true
+					f.note("the answer to the write of %s is lost, it is executed 5 s later", k)
+					return true, 5 * time.Second
+				}
+			}
+			return false, 0
+		}
+	}
+	if err := begin(f, 9); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	usual(ctx, f)
+	for range 6 {
+		if err := rest(ctx, 5*time.Second); err != nil {
+			return false, err
+		}
+		f.note("hosts in the store: %s", strings.Join(f.store.keys("hosts/"), " "))
+	}
+	path := "/recall" + deadlyMark + "/1"
+	f.note("a request that crashes its servers begins to come")
+	comeBack(ctx, f, path, time.Second)
+	if err := rest(ctx, 26*time.Second); err != nil {
+		return false, err
+	}
+	cancel()
+	time.Sleep(1500 * time.Millisecond)
+	return f.judge.deadlyBudget(path), nil
+}
+
+// playGrey503 has one of three servers of a service fail part of the requests that it runs, with 503 and without X-Not-Executed.
+func playGrey503(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	if err := begin(f, 3); err != nil {
+		return false, err
+	}
+	if trouble {
+		for _, t := range f.targets {
+			if t.service == "ledger" {
+				t.mu.Lock()
+				t.greyStatus = http.StatusServiceUnavailable
+				t.mu.Unlock()
+				f.note("server %s of the ledger fails two of five requests that it runs", t.id)
+				break
+			}
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.load(ctx, 30, func(h *host) { f.ask(h, http.MethodPost, "/order/"+newID(), []byte("two loads"), 3*time.Second) })
+	if err := rest(ctx, 8*time.Second); err != nil {
+		return false, err
+	}
+	cancel()
+	time.Sleep(3500 * time.Millisecond)
+	return f.judge.refused(), nil
+}
--- /dev/null
+++ b/review/_fleet3/judge.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+)
+
+// attempt is all that callers and targets have seen of one attempt.
+type attempt struct {
+	id, method, path, host string
+	sentAt                 time.Time
+	answered               bool
+	status                 int
+	signed                 bool
+	notRun                 bool
+	took                   time.Duration
+	// arrivals, runs and ends are the times at which targets got it, began to work on it and ended under it.
+	arrivals, runs, ends []time.Time
+}
+
+// judge keeps what callers and targets see.
+type judge struct {
+	fleet *fleet
+	mu    sync.Mutex
+	all   map[string]*attempt
+}
+
+func newJudge(f *fleet) *judge { return &judge{fleet: f, all: map[string]*attempt{}} }
+
+// of returns an attempt. The lock is held.
+func (j *judge) of(id string) *attempt {
+	a := j.all[id]
+	if a == nil {
+		a = &attempt{id: id}
+		j.all[id] = a
+	}
+	return a
+}
+
+func (j *judge) sent(id, method, path, host string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := j.of(id)
+	a.method, a.path, a.host, a.sentAt = method, path, host, at
+}
+
+func (j *judge) answered(x answer) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := j.of(x.id)
+	a.answered, a.status, a.took = x.err == nil, x.status, x.took
+	a.signed, a.notRun = x.header.Get("X-Server-Stamp") != "", x.header.Get("X-Not-Executed") != ""
+}
+
+func (j *judge) arrival(id, _, _ string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := j.of(id)
+	a.arrivals = append(a.arrivals, at)
+}
+
+func (j *judge) run(id, _, _ string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := j.of(id)
+	a.runs = append(a.runs, at)
+}
+
+func (j *judge) ended(id, _, _ string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := j.of(id)
+	a.ends = append(a.ends, at)
+}
+
+// list returns the attempts at a path in the order of their sending; an empty path stands for all.
+func (j *judge) list(path string) []attempt {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var all []attempt
+	for _, a := range j.all {
+		if path == "" || a.path == path {
+			c := *a
+			c.arrivals = append([]time.Time(nil), a.arrivals...)
+			c.runs = append([]time.Time(nil), a.runs...)
+			c.ends = append([]time.Time(nil), a.ends...)
+			all = append(all, c)
+		}
+	}
+	sort.Slice(all, func(x, y int) bool { return all[x].sentAt.Before(all[y].sentAt) })
+	return all
+}
+
+// outcomes writes the numbers of answers by status.
+func (j *judge) outcomes() {
+	counts := map[int]int{}
+	lost := 0
+	for _, a := range j.list("") {
+		if a.answered {
+			counts[a.status]++
+		} else {
+			lost++
+		}
+	}
+	var statuses []int
+	for s := range counts {
+		statuses = append(statuses, s)
+	}
+	sort.Ints(statuses)
+	for _, s := range statuses {
+		j.fleet.note("answers with status %d: %d", s, counts[s])
+	}
+	if lost > 0 {
+		j.fleet.note("attempts without an answer: %d", lost)
+	}
+}
+
+// stableWindow and freeRetries are the bounds of the rule BUDGET for a request that crashes its servers.
+const (
+	stableWindow = 4 * time.Second
+	freeRetries  = 3
+)
+
+// deadlyBudget checks BUDGET for one request that crashes its servers, and reports whether the rule holds.
+func (j *judge) deadlyBudget(path string) bool {
+	all := j.list(path)
+	var ends []time.Time
+	for _, a := range all {
+		ends = append(ends, a.ends...)
+	}
+	sort.Slice(ends, func(x, y int) bool { return ends[x].Before(ends[y]) })
+	if len(ends) < 3 {
+		j.fleet.note("%s: %d servers have ended, the rule counts from the third", path, len(ends))
+		return true
+	}
+	third := ends[2]
+	j.fleet.note("%s: the third server ended at %.3f s; %d ended in all", path, j.fleet.since(third), len(ends))
+	reached := 0
+	for _, a := range all {
+		after := 0
+		for _, at := range a.arrivals {
+			if at.After(third.Add(stableWindow)) {
+				after++
+			}
+		}
+		if after > 0 {
+			reached++
+			j.fleet.note("%s: retry %d that reached servers more than %s after that: %s, sent to %s at %.3f s, %d servers, answered %d", path, reached, stableWindow, a.id, a.host, j.fleet.since(a.sentAt), after, a.status)
+		}
+	}
+	j.fleet.note("%s: %d retries reached servers, %d are allowed", path, reached, freeRetries)
+	return reached <= freeRetries
+}
+
+// lostBeside counts the attempts at other paths that had begun to run and got neither a success nor a server's own answer.
+func (j *judge) lostBeside(method string) int {
+	n := 0
+	for _, a := range j.list("") {
+		if a.method == method && len(a.runs) > 0 && !(a.answered && (a.status < 300 || a.signed)) {
+			n++
+		}
+	}
+	return n
+}
+
+// refused checks REFUSED for requests that aren't idempotent, which are those with the method POST here, and reports whether the rule holds.
+func (j *judge) refused() bool {
+	broken := 0
+	for _, a := range j.list("") {
+		if a.method != http.MethodPost || len(a.runs) == 0 || !a.answered {
+			continue
+		}
+		switch a.status {
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+			if broken++; broken <= 20 {
+				j.fleet.note("REFUSED: %s was answered %d by %s after %.3f s and had run at %.3f s (server's stamp %t, X-Not-Executed %t)", a.id, a.status, a.host, a.took.Seconds(), j.fleet.since(a.runs[0]), a.signed, a.notRun)
+			}
+		}
+	}
+	j.fleet.note("requests that may run once only, were answered with a promise not to have run, and had run: %d", broken)
+	return broken == 0
+}
--- /dev/null
+++ b/review/_fleet3/target.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	beat = 1200 * time.Millisecond
+	// downTime is how long a target that a request has ended is down.
+	downTime = 3 * time.Second
+	// deadlyMark is the part of a path by which a request ends each target that runs it.
+	deadlyMark = "/deadly"
+	slots      = 4
+	queue      = 24
+)
+
+// target is a stand-in of one backend. It runs until the fleet ends, with an incarnation and an id for each start.
+type target struct {
+	fleet   *fleet
+	service string
+	zone    string
+	address netip.AddrPort
+	work    time.Duration
+	// greyStatus is a status with which the target fails two of five requests after it has run them; zero means none.
+	greyStatus int
+
+	mu     sync.Mutex
+	id     string
+	born   int64
+	seq    int
+	runs   int
+	server *http.Server
+	conns  map[net.Conn]bool
+	slots  chan struct{}
+	queued int
+	down   bool
+}
+
+// start begins an incarnation at the target's address.
+func (t *target) start() error {
+	l, err := listenAt(t.address)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.address = netip.MustParseAddrPort(l.Addr().String())
+	t.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	t.born, t.seq, t.down, t.queued = time.Now().UnixMilli(), 0, false, 0
+	t.conns, t.slots = map[net.Conn]bool{}, make(chan struct{}, slots)
+	t.server = &http.Server{
+		Handler: http.HandlerFunc(t.serve),
+		ConnState: func(c net.Conn, s http.ConnState) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			switch s {
+			case http.StateNew:
+				t.conns[c] = true
+			case http.StateClosed, http.StateHijacked:
+				delete(t.conns, c)
+			}
+		},
+	}
+	server := t.server
+	t.mu.Unlock()
+	go server.Serve(l)
+	t.beat()
+	return nil
+}
+
+// beat writes the target's entry.
+func (t *target) beat() {
+	t.mu.Lock()
+	if t.down {
+		t.mu.Unlock()
+		return
+	}
+	t.seq++
+	id := t.id
+	value := map[string]any{
+		"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1",
+		"slots": slots, "state": "ready", "coldRemainingMs": 0, "seq": t.seq, "born": t.born,
+	}
+	t.mu.Unlock()
+	t.fleet.store.put("servers/"+id, value)
+}
+
+// crash ends the incarnation: connections are reset and new ones refused. The entry expires after three beats, and the next incarnation starts after downTime.
+func (t *target) crash(cause string) {
+	t.mu.Lock()
+	if t.down {
+		t.mu.Unlock()
+		return
+	}
+	t.down = true
+	id, server := t.id, t.server
+	var open []net.Conn
+	for c := range t.conns {
+		open = append(open, c)
+	}
+	t.mu.Unlock()
+	t.fleet.note("target %s of %s ends: %s", id, t.service, cause)
+	for _, c := range open {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	server.Close()
+	time.AfterFunc(3*beat, func() { t.fleet.store.remove("servers/" + id) })
+	time.AfterFunc(downTime, func() {
+		for t.start() != nil {
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.fleet.note("a target of %s is back as %s", t.service, t.id)
+	})
+}
+
+// serve answers a request as PROTOCOL.md says.
+func (t *target) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	requestID := r.Header.Get("X-Request-Id")
+	t.mu.Lock()
+	id, places := t.id, t.slots
+	t.mu.Unlock()
+	h := w.Header()
+	if requestID != "" {
+		h.Set("X-Request-Id", requestID)
+	}
+	h.Set("Keep-Alive", "timeout=15")
+	if r.URL.Path == "/health" {
+		h.Set("X-Instance-Id", id)
+		return
+	}
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != id {
+		h.Set("X-Instance-Id", id)
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	t.fleet.judge.arrival(requestID, t.service, id, arrived)
+	deadline, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	if err != nil {
+		deadline = 5000
+	}
+	over := time.After(time.Duration(deadline) * time.Millisecond)
+	refuse := func(status int) {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(status)
+	}
+	t.mu.Lock()
+	full := t.queued >= queue
+	if !full {
+		t.queued++
+	}
+	t.mu.Unlock()
+	if requestID == "" {
+		refuse(http.StatusBadRequest)
+		return
+	}
+	if full {
+		refuse(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() {
+		t.mu.Lock()
+		t.queued--
+		t.mu.Unlock()
+	}()
+	select {
+	case places <- struct{}{}:
+		defer func() { <-places }()
+	case <-over:
+		refuse(http.StatusServiceUnavailable)
+		return
+	case <-r.Context().Done():
+		return
+	}
+	t.mu.Lock()
+	t.runs++
+	grey := t.greyStatus != 0 && t.runs%5 < 2
+	t.mu.Unlock()
+	t.fleet.judge.run(requestID, t.service, id, time.Now())
+	if strings.Contains(r.URL.Path, deadlyMark) {
+		time.Sleep(time.Duration(20+rand.IntN(40)) * time.Millisecond)
+		t.fleet.judge.ended(requestID, r.URL.RequestURI(), id, time.Now())
+		go t.crash("request " + requestID + " (" + r.URL.Path + ") has crashed it")
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(t.work))):
+	case <-over:
+		h.Set("X-Server-Stamp", stamp(t.service, id, requestID))
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	case <-r.Context().Done():
+		return
+	}
+	h.Set("X-Server-Stamp", stamp(t.service, id, requestID))
+	if grey {
+		// The request has run, so the answer has no X-Not-Executed.
+		w.WriteHeader(t.greyStatus)
+		return
+	}
+	body := records(t.service, requestID)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+// stamp is the signature of a target's answer to a request.
+func stamp(service, id, requestID string) string {
+	h := fnv.New64a()
+	fmt.Fprint(h, service, "/", id, "/", requestID)
+	return fmt.Sprintf("%s.%s.%016x", service, id, h.Sum64())
+}
+
+// records is the body with which every target of a service answers a request.
+func records(service, requestID string) []byte {
+	h := fnv.New64a()
+	fmt.Fprint(h, service, "/", requestID)
+	r := rand.New(rand.NewPCG(h.Sum64(), 1))
+	var b []byte
+	for range 12 {
+		b = binary.BigEndian.AppendUint64(b, r.Uint64())
+	}
+	return b
+}
