--- a/review/_fleet3/caller.go
+++ b/review/_fleet3/caller.go
@@ -60,12 +60,17 @@
 
 // load sends requests of one kind at a rate over all hosts in turn until the context ends.
 func (f *fleet) load(ctx context.Context, perSecond float64, send func(h *host)) {
+	loadAt(ctx, f.hosts, perSecond, send)
+}
+
+// loadAt is load over some hosts.
+func loadAt(ctx context.Context, hosts []*host, perSecond float64, send func(h *host)) {
 	tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 	defer tick.Stop()
 	for i := 0; ; i++ {
 		select {
 		case <-tick.C:
-			go send(f.hosts[i%len(f.hosts)])
+			go send(hosts[i%len(hosts)])
 		case <-ctx.Done():
 			return
 		}
--- a/review/_fleet3/cases.go
+++ b/review/_fleet3/cases.go
@@ -17,35 +17,6 @@
 	})
 }
 
-// playDeadlyPair has two requests at once that crash the servers which run them.
-func playDeadlyPair(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	if err := begin(f, 7); err != nil {
-		return false, err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	usual(ctx, f)
-	if err := rest(ctx, 8*time.Second); err != nil {
-		return false, err
-	}
-	paths := []string{"/recall" + deadlyMark + "/1", "/schedule" + deadlyMark + "/2"}
-	if trouble {
-		f.note("two requests that crash their servers begin to come")
-		comeBack(ctx, f, paths[0], time.Second)
-		comeBack(ctx, f, paths[1], 800*time.Millisecond)
-	}
-	if err := rest(ctx, 20*time.Second); err != nil {
-		return false, err
-	}
-	cancel()
-	time.Sleep(1500 * time.Millisecond)
-	held := true
-	for _, p := range paths {
-		held = f.judge.deadlyBudget(p) && held
-	}
-	return held, nil
-}
-
 // playDeadlyLong has one request that crashes the servers which run it, and whose caller goes on to send it.
 func playDeadlyLong(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	if err := begin(f, 7); err != nil {
@@ -137,3 +108,46 @@
 	time.Sleep(3500 * time.Millisecond)
 	return f.judge.refused(), nil
 }
+
+// playOwners restarts the host that divides the rate limits of a region's targets, while some hosts read the list of hosts from a replica of the store that is seconds behind.
+func playOwners(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	replica := []string{"front-aralsk-1", "front-aralsk-2", "front-bakanas-1"}
+	if err := beginBehind(f, 7, func(name string) bool { return slices.Contains(replica, name) }); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var limited []string
+	const perSecond = 30
+	for _, t := range f.targets {
+		if t.service == "permit" {
+			t.mu.Lock()
+			t.limit = perSecond
+			limited = append(limited, t.id)
+			t.mu.Unlock()
+		}
+	}
+	stated := time.Now()
+	// The balancer spreads callers unevenly: the host that is restarted gets few.
+	go loadAt(ctx, f.hosts[1:], 170, func(h *host) { f.ask(h, http.MethodGet, "/permit/"+newID(), nil, 3*time.Second) })
+	go f.load(ctx, 14, func(h *host) { f.ask(h, http.MethodGet, "/card/"+newID(), nil, 3*time.Second) })
+	if err := rest(ctx, 15*time.Second); err != nil {
+		return false, err
+	}
+	owner := f.hosts[0]
+	if trouble {
+		if err := f.restartHost(owner); err != nil {
+			return false, err
+		}
+	}
+	if err := rest(ctx, 20*time.Second); err != nil {
+		return false, err
+	}
+	cancel()
+	time.Sleep(3500 * time.Millisecond)
+	held := true
+	for _, id := range limited {
+		held = f.judge.limit(id, perSecond, stated, map[string]bool{owner.name: true}) && held
+	}
+	return held, nil
+}
--- a/review/_fleet3/fleet.go
+++ b/review/_fleet3/fleet.go
@@ -22,10 +22,11 @@
 	record  *os.File
 	began   time.Time
 	store   *store
-	storeAt netip.AddrPort
-	targets []*target
-	hosts   []*host
-	judge   *judge
+	// storeAt is the store's address; behindAt is that of a replica whose stale reads are older by staleAge.
+	storeAt, behindAt netip.AddrPort
+	targets           []*target
+	hosts             []*host
+	judge             *judge
 
 	mu sync.Mutex
 }
@@ -34,9 +35,12 @@
 type host struct {
 	name, zone, region             string
 	callers, ready, requests, view netip.AddrPort
-	settings                       string
-	command                        *exec.Cmd
-	exited                         chan struct{}
+	metrics                        uint16
+	// store is the address at which the host calls the store.
+	store    netip.AddrPort
+	settings string
+	command  *exec.Cmd
+	exited   chan struct{}
 }
 
 // zones of the fleet, each a region of its own, as at the small sites.
@@ -73,6 +77,9 @@
 	return netip.MustParseAddrPort(l.Addr().String()), nil
 }
 
+// staleAge is the age of the reads with allowStale at the replica.
+const staleAge = 6 * time.Second
+
 // newFleet starts the store.
 func newFleet(folder, program string, record *os.File) (*fleet, error) {
 	f := &fleet{
@@ -89,6 +96,12 @@
 	}
 	f.storeAt = netip.MustParseAddrPort(l.Addr().String())
 	go (&http.Server{Handler: f.store}).Serve(l)
+	replica, err := listenAt(netip.AddrPort{})
+	if err != nil {
+		return nil, err
+	}
+	f.behindAt = netip.MustParseAddrPort(replica.Addr().String())
+	go (&http.Server{Handler: f.store.behind(staleAge)}).Serve(replica)
 	return f, nil
 }
 
@@ -123,11 +136,14 @@
 	}
 }
 
-// addHosts writes the settings of hosts, as the template of the deploy file does, and starts them.
-func (f *fleet) addHosts(count int) error {
+// addHosts starts hosts. Those for which behind is true call the replica of the store.
+func (f *fleet) addHosts(count int, behind func(name string) bool) error {
 	for i := range count {
 		z := zones[i%len(zones)]
-		h := &host{name: fmt.Sprintf("front-%s-%d", z.name, i/len(zones)+1), zone: z.name, region: z.region}
+		h := &host{name: fmt.Sprintf("front-%s-%d", z.name, i/len(zones)+1), zone: z.name, region: z.region, store: f.storeAt}
+		if behind(h.name) {
+			h.store = f.behindAt
+		}
 		metrics := netip.AddrPort{}
 		for _, a := range []*netip.AddrPort{&h.callers, &h.ready, &h.requests, &h.view, &metrics} {
 			var err error
@@ -135,22 +151,9 @@
 				return err
 			}
 		}
-		places := map[string]string{}
-		for _, p := range zones {
-			places[p.name] = p.region
-		}
-		b, err := json.MarshalIndent(map[string]any{
-			"name": h.name, "region": h.region, "datacentre": h.zone, "datacentres": places,
-			"callers": h.callers, "ready": h.ready, "requests": h.requests, "views": h.view,
-			"cores": 0.4, "memory": "284MiB", "metrics": metrics.Port(), "store": f.storeAt, "first": true,
-			"grace": "6s", "apply": "3000ms", "leave": "3000ms", "out": "5000ms", "beat": "1200ms",
-			"extra": 0.2, "slack": 54, "heat": 1.5, "margin": 5,
-		}, "", "\t")
-		if err != nil {
-			return err
-		}
+		h.metrics = metrics.Port()
 		h.settings = filepath.Join(f.folder, h.name+".jsonc")
-		if err := os.WriteFile(h.settings, b, 0o600); err != nil {
+		if err := f.writeSettings(h, true); err != nil {
 			return err
 		}
 		if err := f.startHost(h); err != nil {
@@ -161,6 +164,46 @@
 	return nil
 }
 
+// writeSettings writes a host's settings, as the template of the deploy file does; first is set if the whole fleet starts for the first time.
+func (f *fleet) writeSettings(h *host, first bool) error {
+	places := map[string]string{}
+	for _, p := range zones {
+		places[p.name] = p.region
+	}
+	b, err := json.MarshalIndent(map[string]any{
+		"name": h.name, "region": h.region, "datacentre": h.zone, "datacentres": places,
+		"callers": h.callers, "ready": h.ready, "requests": h.requests, "views": h.view,
+		"cores": 0.4, "memory": "284MiB", "metrics": h.metrics, "store": h.store, "first": first,
+		"grace": "6s", "apply": "3000ms", "leave": "3000ms", "out": "5000ms", "beat": "1200ms",
+		"extra": 0.2, "slack": 54, "heat": 1.5, "margin": 5,
+	}, "", "\t")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(h.settings, b, 0o600)
+}
+
+// restartHost stops a host as the platform does, with SIGTERM, and starts it again once its process has ended. It returns after the start.
+func (f *fleet) restartHost(h *host) error {
+	f.note("%s gets SIGTERM", h.name)
+	if err := h.command.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-h.exited:
+	case <-time.After(6 * time.Second):
+		if err := h.command.Process.Kill(); err != nil {
+			return err
+		}
+		<-h.exited
+	}
+	f.note("%s has ended and starts again", h.name)
+	if err := f.writeSettings(h, false); err != nil {
+		return err
+	}
+	return f.startHost(h)
+}
+
 // startHost starts a host's process with the command of the deploy file.
 func (f *fleet) startHost(h *host) error {
 	log, err := os.OpenFile(filepath.Join(f.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/_fleet3/judge.go
+++ b/review/_fleet3/judge.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -25,9 +27,19 @@
 	fleet *fleet
 	mu    sync.Mutex
 	all   map[string]*attempt
+	// targets holds the arrivals at each target by its id.
+	targets map[string][]arrival
 }
 
-func newJudge(f *fleet) *judge { return &judge{fleet: f, all: map[string]*attempt{}} }
+// arrival is a request that reached a target.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+func newJudge(f *fleet) *judge {
+	return &judge{fleet: f, all: map[string]*attempt{}, targets: map[string][]arrival{}}
+}
 
 // of returns an attempt. The lock is held.
 func (j *judge) of(id string) *attempt {
@@ -54,9 +66,10 @@
 	a.signed, a.notRun = x.header.Get("X-Server-Stamp") != "", x.header.Get("X-Not-Executed") != ""
 }
 
-func (j *judge) arrival(id, _, _ string, at time.Time) {
+func (j *judge) arrival(id, _, target string, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.targets[target] = append(j.targets[target], arrival{id: id, at: at})
 	a := j.of(id)
 	a.arrivals = append(a.arrivals, at)
 }
@@ -154,17 +167,6 @@
 	return reached <= freeRetries
 }
 
-// lostBeside counts the attempts at other paths that had begun to run and got neither a success nor a server's own answer.
-func (j *judge) lostBeside(method string) int {
-	n := 0
-	for _, a := range j.list("") {
-		if a.method == method && len(a.runs) > 0 && !(a.answered && (a.status < 300 || a.signed)) {
-			n++
-		}
-	}
-	return n
-}
-
 // refused checks REFUSED for requests that aren't idempotent, which are those with the method POST here, and reports whether the rule holds.
 func (j *judge) refused() bool {
 	broken := 0
@@ -182,3 +184,64 @@
 	j.fleet.note("requests that may run once only, were answered with a promise not to have run, and had run: %d", broken)
 	return broken == 0
 }
+
+// Bounds of the rule LIMIT.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// heardBefore is how long before a request a host must have passed on an answer with the limit for the request to count.
+	heardBefore = 500 * time.Millisecond
+)
+
+// limit checks LIMIT for one target that has stated its limit from a time on, and reports whether the rule holds. Requests by way of excused hosts don't count.
+func (j *judge) limit(target string, perSecond float64, stated time.Time, excused map[string]bool) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	// heard holds when each host has first passed on an answer of the target since then.
+	heard := map[string]time.Time{}
+	for _, a := range j.targets[target] {
+		x := j.all[a.id]
+		if x == nil || !x.answered || !x.signed || a.at.Before(stated) {
+			continue
+		}
+		if end := x.sentAt.Add(x.took); heard[x.host].IsZero() || end.Before(heard[x.host]) {
+			heard[x.host] = end
+		}
+	}
+	var counted []time.Time
+	byHost := map[string]int{}
+	for _, a := range j.targets[target] {
+		x := j.all[a.id]
+		if x == nil || excused[x.host] || heard[x.host].IsZero() || a.at.Before(heard[x.host].Add(heardBefore)) || a.at.Before(stated.Add(stableWindow)) {
+			continue
+		}
+		counted = append(counted, a.at)
+		byHost[x.host]++
+	}
+	sort.Slice(counted, func(x, y int) bool { return counted[x].Before(counted[y]) })
+	most, from := 0, time.Time{}
+	first := 0
+	for last := range counted {
+		for counted[last].Sub(counted[first]) >= limitWindow {
+			first++
+		}
+		if n := last - first + 1; n > most {
+			most, from = n, counted[first]
+		}
+	}
+	var seconds []string
+	for second := range int(time.Since(stated).Seconds()) {
+		n := 0
+		for _, at := range counted {
+			if int(at.Sub(stated).Seconds()) == second {
+				n++
+			}
+		}
+		seconds = append(seconds, strconv.Itoa(n))
+	}
+	j.fleet.note("target %s, requests in each second from %.3f s on: %s", target, j.fleet.since(stated), strings.Join(seconds, " "))
+	allowed := limitFactor*perSecond*limitWindow.Seconds() + limitSlack
+	j.fleet.note("target %s states %g a second: at most %d requests in %s, from %.3f s on; %.0f are allowed; in all by host: %v", target, perSecond, most, limitWindow, j.fleet.since(from), allowed, byHost)
+	return float64(most) <= allowed
+}
--- a/review/_fleet3/main.go
+++ b/review/_fleet3/main.go
@@ -15,10 +15,10 @@
 
 // cases holds the cases by name. Each returns whether the rule held.
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) (bool, error){
-	"deadlypair": playDeadlyPair,
 	"deadlylong": playDeadlyLong,
 	"unlisted":   playUnlisted,
 	"grey503":    playGrey503,
+	"owners":     playOwners,
 }
 
 func main() {
@@ -87,6 +87,11 @@
 
 // begin sets up a small deployment: two fan-out routes over the same shards, a route to a registry, which may be repeated, and one to a ledger, which may not.
 func begin(f *fleet, hosts int) error {
+	return beginBehind(f, hosts, func(string) bool { return false })
+}
+
+// beginBehind is begin with some hosts at a replica of the store.
+func beginBehind(f *fleet, hosts int, behind func(name string) bool) error {
 	var shards []string
 	var services []map[string]any
 	add := func(name string, targets int, work time.Duration) error {
@@ -106,19 +111,31 @@
 	if err := add("ledger", 3, 20*time.Millisecond); err != nil {
 		return err
 	}
+	// The permits are kept in one zone.
+	if err := add("permit", 0, 0); err != nil {
+		return err
+	}
+	for range 2 {
+		t := &target{fleet: f, service: "permit", zone: zones[0].name, work: 20 * time.Millisecond}
+		if err := t.start(); err != nil {
+			return err
+		}
+		f.targets = append(f.targets, t)
+	}
 	f.store.put("op/config", map[string]any{
 		"version": 7,
 		"routes": []map[string]any{
 			route("recall", "/recall/", "idempotent", 1000, 100, map[string]any{"fanoutServices": shards, "topK": 10, "minShardShare": 0.89}),
 			route("schedule", "/schedule/", "idempotent", 800, 80, map[string]any{"fanoutServices": shards, "topK": 5, "minShardShare": 0.75}),
 			route("card", "/card/", "idempotent", 3000, 300, map[string]any{"service": "registry"}),
+			route("permit", "/permit/", "idempotent", 3000, 300, map[string]any{"service": "permit"}),
 			route("order", "/order/", "non_idempotent", 3000, 300, map[string]any{"service": "ledger"}),
 		},
 		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	go f.beats()
-	if err := f.addHosts(hosts); err != nil {
+	if err := f.addHosts(hosts, behind); err != nil {
 		return err
 	}
 	if err := f.awaitReady(15 * time.Second); err != nil {
--- a/review/_fleet3/store.go
+++ b/review/_fleet3/store.go
@@ -18,6 +18,8 @@
 	Created  uint64 `json:"createRev,omitempty"`
 	Lease    uint64 `json:"lease,omitempty"`
 	Deleted  bool   `json:"deleted,omitempty"`
+	// at is when the change was made.
+	at time.Time
 }
 
 type lease struct {
@@ -84,7 +86,7 @@
 // write records a change and wakes all watches. The lock is held.
 func (s *store) write(r row) {
 	s.revision++
-	r.Revision, r.Created = s.revision, s.revision
+	r.Revision, r.Created, r.at = s.revision, s.revision, time.Now()
 	if old, known := s.rows[r.Key]; known {
 		r.Created = old.Created
 	}
@@ -124,7 +126,15 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP answers a call; reads with allowStale are up to date.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, 0) }
+
+// behind returns a handler of calls whose reads with allowStale are older by age.
+func (s *store) behind(age time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, age) })
+}
+
+func (s *store) serve(w http.ResponseWriter, r *http.Request, age time.Duration) {
 	s.mu.Lock()
 	s.expire()
 	s.mu.Unlock()
@@ -140,7 +150,10 @@
 		}
 		s.answer(w, http.StatusOK, item)
 	case path == "/api/kv-range":
-		s.list(w, q.Get("prefix"), q.Get("after"))
+		if q.Get("allowStale") != "1" {
+			age = 0
+		}
+		s.list(w, q.Get("prefix"), q.Get("after"), age)
 	case path == "/api/kv-watch":
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("waitMs"))
@@ -185,11 +198,32 @@
 	}
 }
 
-// list answers a page of at most 500 items.
-func (s *store) list(w http.ResponseWriter, prefix, after string) {
+// stateBefore returns the contents and the revision as they were some time ago. The lock is held.
+func (s *store) stateBefore(age time.Duration) (map[string]row, uint64) {
+	if age == 0 {
+		return s.rows, s.revision
+	}
+	rows, revision := map[string]row{}, uint64(1)
+	for _, h := range s.history {
+		if time.Since(h.at) < age {
+			break
+		}
+		revision = h.Revision
+		if h.Deleted {
+			delete(rows, h.Key)
+		} else {
+			rows[h.Key] = h
+		}
+	}
+	return rows, revision
+}
+
+// list answers a page of at most 500 items, as the store was some time ago.
+func (s *store) list(w http.ResponseWriter, prefix, after string, age time.Duration) {
 	s.mu.Lock()
+	rows, revision := s.stateBefore(age)
 	var keys []string
-	for k := range s.rows {
+	for k := range rows {
 		if strings.HasPrefix(k, prefix) && k > after {
 			keys = append(keys, k)
 		}
@@ -198,9 +232,8 @@
 	more := len(keys) > 500
 	items := []row{}
 	for _, k := range keys[:min(len(keys), 500)] {
-		items = append(items, s.rows[k])
+		items = append(items, rows[k])
 	}
-	revision := s.revision
 	s.mu.Unlock()
 	s.answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "storeRevision": revision})
 }
--- a/review/_fleet3/target.go
+++ b/review/_fleet3/target.go
@@ -31,6 +31,8 @@
 	zone    string
 	address netip.AddrPort
 	work    time.Duration
+	// limit is the number of requests a second that the target states in its answers; zero means none.
+	limit float64
 	// greyStatus is a status with which the target fails two of five requests after it has run them; zero means none.
 	greyStatus int
 
@@ -129,13 +131,16 @@
 	arrived := time.Now()
 	requestID := r.Header.Get("X-Request-Id")
 	t.mu.Lock()
-	id, places := t.id, t.slots
+	id, places, limit := t.id, t.slots, t.limit
 	t.mu.Unlock()
 	h := w.Header()
 	if requestID != "" {
 		h.Set("X-Request-Id", requestID)
 	}
 	h.Set("Keep-Alive", "timeout=15")
+	if limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	if r.URL.Path == "/health" {
 		h.Set("X-Instance-Id", id)
 		return
