--- a/review/_fleet3/cases.go
+++ b/review/_fleet3/cases.go
@@ -38,7 +38,7 @@
 	}
 	cancel()
 	time.Sleep(1500 * time.Millisecond)
-	return f.judge.deadlyBudget(path), nil
+	return f.judge.deadlyBudget(path, kormsuWindow), nil
 }
 
 // playUnlisted loses the answer to the write with which three of nine hosts register, and executes these writes seconds later. Later a request comes that crashes its servers.
@@ -79,34 +79,7 @@
 	}
 	cancel()
 	time.Sleep(1500 * time.Millisecond)
-	return f.judge.deadlyBudget(path), nil
-}
-
-// playGrey503 has one of three servers of a service fail part of the requests that it runs, with 503 and without X-Not-Executed.
-func playGrey503(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	if err := begin(f, 3); err != nil {
-		return false, err
-	}
-	if trouble {
-		for _, t := range f.targets {
-			if t.service == "ledger" {
-				t.mu.Lock()
-				t.greyStatus = http.StatusServiceUnavailable
-				t.mu.Unlock()
-				f.note("server %s of the ledger fails two of five requests that it runs", t.id)
-				break
-			}
-		}
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go f.load(ctx, 30, func(h *host) { f.ask(h, http.MethodPost, "/order/"+newID(), []byte("two loads"), 3*time.Second) })
-	if err := rest(ctx, 8*time.Second); err != nil {
-		return false, err
-	}
-	cancel()
-	time.Sleep(3500 * time.Millisecond)
-	return f.judge.refused(), nil
+	return f.judge.deadlyBudget(path, saltladeWindow), nil
 }
 
 // playOwners restarts the host that divides the rate limits of a region's targets, while some hosts read the list of hosts from a replica of the store that is seconds behind.
--- a/review/_fleet3/main.go
+++ b/review/_fleet3/main.go
@@ -17,7 +17,6 @@
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) (bool, error){
 	"deadlylong": playDeadlyLong,
 	"unlisted":   playUnlisted,
-	"grey503":    playGrey503,
 	"owners":     playOwners,
 }
 
--- a/review/_fleet3/target.go
+++ b/review/_fleet3/target.go
@@ -33,14 +33,11 @@
 	work    time.Duration
 	// limit is the number of requests a second that the target states in its answers; zero means none.
 	limit float64
-	// greyStatus is a status with which the target fails two of five requests after it has run them; zero means none.
-	greyStatus int
 
 	mu     sync.Mutex
 	id     string
 	born   int64
 	seq    int
-	runs   int
 	server *http.Server
 	conns  map[net.Conn]bool
 	slots  chan struct{}
@@ -189,10 +186,6 @@
 	case <-r.Context().Done():
 		return
 	}
-	t.mu.Lock()
-	t.runs++
-	grey := t.greyStatus != 0 && t.runs%5 < 2
-	t.mu.Unlock()
 	t.fleet.judge.run(requestID, t.service, id, time.Now())
 	if strings.Contains(r.URL.Path, deadlyMark) {
 		time.Sleep(time.Duration(20+rand.IntN(40)) * time.Millisecond)
@@ -211,11 +204,6 @@
 		return
 	}
 	h.Set("X-Server-Stamp", stamp(t.service, id, requestID))
-	if grey {
-		// The request has run, so the answer has no X-Not-Executed.
-		w.WriteHeader(t.greyStatus)
-		return
-	}
 	body := records(t.service, requestID)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
