--- a/review/_fleet3/cases.go
+++ b/review/_fleet3/cases.go
@@ -41,6 +41,31 @@
 	return f.judge.deadlyBudget(path, kormsuWindow), nil
 }
 
+// playDeadlyDark has one request under which the machines of the servers that run it go dark for three seconds.
+func playDeadlyDark(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	f.silentEnds = true
+	if err := begin(f, 7); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	usual(ctx, f)
+	if err := rest(ctx, 6*time.Second); err != nil {
+		return false, err
+	}
+	path := "/recall" + deadlyMark + "/1"
+	if trouble {
+		f.note("a request under which servers go dark begins to come")
+		comeBack(ctx, f, path, time.Second)
+	}
+	if err := rest(ctx, 20*time.Second); err != nil {
+		return false, err
+	}
+	cancel()
+	time.Sleep(1500 * time.Millisecond)
+	return f.judge.deadlyBudget(path, kormsuWindow), nil
+}
+
 // playUnlisted loses the answer to the write with which three of nine hosts register, and executes these writes seconds later. Later a request comes that crashes its servers.
 func playUnlisted(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	var mu sync.Mutex
@@ -74,7 +99,7 @@
 	path := "/recall" + deadlyMark + "/1"
 	f.note("a request that crashes its servers begins to come")
 	comeBack(ctx, f, path, time.Second)
-	if err := rest(ctx, 26*time.Second); err != nil {
+	if err := rest(ctx, 20*time.Second); err != nil {
 		return false, err
 	}
 	cancel()
--- a/review/_fleet3/fleet.go
+++ b/review/_fleet3/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -27,6 +28,8 @@
 	targets           []*target
 	hosts             []*host
 	judge             *judge
+	// silentEnds is set if targets that a request crashes send nothing any more, instead of resetting their connections.
+	silentEnds bool
 
 	mu sync.Mutex
 }
@@ -52,15 +55,22 @@
 	portCount = 14000
 )
 
+// taken holds the ports that were given out, so that none is given to two processes.
+var taken sync.Map
+
 // listenAt listens at an address of loopback; an invalid one stands for any that is free.
 func listenAt(a netip.AddrPort) (net.Listener, error) {
 	if a.IsValid() {
 		return net.Listen("tcp", a.String())
 	}
-	var err error
+	err := errors.New("no port is free")
 	for range 200 {
+		port := firstPort + rand.IntN(portCount)
+		if _, given := taken.LoadOrStore(port, true); given {
+			continue
+		}
 		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))); err == nil {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			return l, nil
 		}
 	}
--- a/review/_fleet3/target.go
+++ b/review/_fleet3/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -43,6 +45,99 @@
 	slots  chan struct{}
 	queued int
 	down   bool
+	// listener is the incarnation's; dark is closed when it falls silent.
+	listener *silentListener
+	dark     chan struct{}
+}
+
+// silentConn is a connection of a target whose machine may lose power: from then on nothing is read or written until the connection is closed.
+type silentConn struct {
+	net.Conn
+	dark   chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *silentConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	return n, c.wait(err)
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if err := c.wait(nil); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// wait blocks a call while the machine is dark.
+func (c *silentConn) wait(err error) error {
+	select {
+	case <-c.dark:
+		<-c.closed
+		return net.ErrClosed
+	default:
+		return err
+	}
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	select {
+	case <-c.dark:
+		// The machine is back and knows nothing of the connection.
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	default:
+	}
+	return c.Conn.Close()
+}
+
+// silentListener accepts silentConns, none while the machine is dark.
+type silentListener struct {
+	net.Listener
+	dark   chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-l.dark:
+		<-l.closed
+		c.Close()
+		return nil, net.ErrClosed
+	default:
+		return &silentConn{Conn: c, dark: l.dark, closed: make(chan struct{})}, nil
+	}
+}
+
+func (l *silentListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// fill makes new connections hang: with the shortest queue of connections full, the system drops the packets that open further ones.
+func (l *silentListener) fill() error {
+	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), 0) }); err != nil || listenErr != nil {
+		return errors.Join(err, listenErr)
+	}
+	for range 8 {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 30*time.Millisecond)
+		if err != nil {
+			return nil
+		}
+		time.AfterFunc(downTime, func() { c.Close() })
+	}
+	return errors.New("connections to a dark machine don't hang")
 }
 
 // start begins an incarnation at the target's address.
@@ -55,7 +150,7 @@
 	t.address = netip.MustParseAddrPort(l.Addr().String())
 	t.id = fmt.Sprintf("i-%08x", rand.Uint32())
 	t.born, t.seq, t.down, t.queued = time.Now().UnixMilli(), 0, false, 0
-	t.conns, t.slots = map[net.Conn]bool{}, make(chan struct{}, slots)
+	t.conns, t.slots, t.dark = map[net.Conn]bool{}, make(chan struct{}, slots), make(chan struct{})
 	t.server = &http.Server{
 		Handler: http.HandlerFunc(t.serve),
 		ConnState: func(c net.Conn, s http.ConnState) {
@@ -70,8 +165,10 @@
 		},
 	}
 	server := t.server
+	t.listener = &silentListener{Listener: l, dark: t.dark, closed: make(chan struct{})}
+	listener := t.listener
 	t.mu.Unlock()
-	go server.Serve(l)
+	go server.Serve(listener)
 	t.beat()
 	return nil
 }
@@ -109,11 +206,14 @@
 	t.mu.Unlock()
 	t.fleet.note("target %s of %s ends: %s", id, t.service, cause)
 	for _, c := range open {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		_ = c.(*silentConn).Conn.(*net.TCPConn).SetLinger(0)
 	}
 	server.Close()
+	t.comeBack(id)
+}
+
+// comeBack removes the entry of an incarnation that has ended after three beats and starts the next one after downTime.
+func (t *target) comeBack(id string) {
 	time.AfterFunc(3*beat, func() { t.fleet.store.remove("servers/" + id) })
 	time.AfterFunc(downTime, func() {
 		for t.start() != nil {
@@ -123,6 +223,25 @@
 	})
 }
 
+// goDark ends the incarnation as a loss of power does: open connections fall silent, and new ones hang. After downTime the machine is back, knows nothing of them, and the next incarnation starts.
+func (t *target) goDark(cause string) {
+	t.mu.Lock()
+	if t.down {
+		t.mu.Unlock()
+		return
+	}
+	t.down = true
+	id, server, listener := t.id, t.server, t.listener
+	close(t.dark)
+	t.mu.Unlock()
+	t.fleet.note("target %s of %s goes dark: %s", id, t.service, cause)
+	if err := listener.fill(); err != nil {
+		t.fleet.note("target %s: %v", id, err)
+	}
+	time.AfterFunc(downTime-50*time.Millisecond, func() { server.Close() })
+	t.comeBack(id)
+}
+
 // serve answers a request as PROTOCOL.md says.
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -190,7 +309,11 @@
 	if strings.Contains(r.URL.Path, deadlyMark) {
 		time.Sleep(time.Duration(20+rand.IntN(40)) * time.Millisecond)
 		t.fleet.judge.ended(requestID, r.URL.RequestURI(), id, time.Now())
-		go t.crash("request " + requestID + " (" + r.URL.Path + ") has crashed it")
+		end := t.crash
+		if t.fleet.silentEnds {
+			end = t.goDark
+		}
+		go end("request " + requestID + " (" + r.URL.Path + ") has crashed it")
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
