--- a/review/_fleet3/cases.go
+++ b/review/_fleet3/cases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -10,11 +9,9 @@
 	"time"
 )
 
-// comeBack repeats one deadly request at any host, a new attempt about twice a second, until the context ends.
+// comeBack repeats one deadly request, a new attempt twice a second at the next host, until the context ends.
 func comeBack(ctx context.Context, f *fleet, path string, deadline time.Duration) {
-	go f.load(ctx, 2, func(*host) {
-		f.ask(f.hosts[rand.IntN(len(f.hosts))], http.MethodGet, path, nil, deadline)
-	})
+	go f.load(ctx, 2, func(h *host) { f.ask(h, http.MethodGet, path, nil, deadline) })
 }
 
 // playDeadlyLong has one request that crashes the servers which run it, and whose caller goes on to send it.
--- a/review/_fleet3/fleet.go
+++ b/review/_fleet3/fleet.go
@@ -154,16 +154,7 @@
 		if behind(h.name) {
 			h.store = f.behindAt
 		}
-		metrics := netip.AddrPort{}
-		for _, a := range []*netip.AddrPort{&h.callers, &h.ready, &h.requests, &h.view, &metrics} {
-			var err error
-			if *a, err = freeAddress(); err != nil {
-				return err
-			}
-		}
-		h.metrics = metrics.Port()
-		h.settings = filepath.Join(f.folder, h.name+".jsonc")
-		if err := f.writeSettings(h, true); err != nil {
+		if err := f.prepare(h); err != nil {
 			return err
 		}
 		if err := f.startHost(h); err != nil {
@@ -174,6 +165,20 @@
 	return nil
 }
 
+// prepare gives a host free addresses and writes its settings for the first start.
+func (f *fleet) prepare(h *host) error {
+	metrics := netip.AddrPort{}
+	for _, a := range []*netip.AddrPort{&h.callers, &h.ready, &h.requests, &h.view, &metrics} {
+		var err error
+		if *a, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	h.metrics = metrics.Port()
+	h.settings = filepath.Join(f.folder, h.name+".jsonc")
+	return f.writeSettings(h, true)
+}
+
 // writeSettings writes a host's settings, as the template of the deploy file does; first is set if the whole fleet starts for the first time.
 func (f *fleet) writeSettings(h *host, first bool) error {
 	places := map[string]string{}
@@ -248,6 +253,18 @@
 					break
 				}
 			}
+			select {
+			case <-h.exited:
+				// Another process has taken one of its ports.
+				f.note("%s has ended before it was ready and starts at other addresses", h.name)
+				if err := f.prepare(h); err != nil {
+					return err
+				}
+				if err := f.startHost(h); err != nil {
+					return err
+				}
+			default:
+			}
 			if time.Now().After(end) {
 				return fmt.Errorf("host %s is not ready after %s", h.name, limit)
 			}
