--- a/review/_fleet3/cases.go
+++ b/review/_fleet3/cases.go
@@ -14,30 +14,6 @@
 	go f.load(ctx, 2, func(h *host) { f.ask(h, http.MethodGet, path, nil, deadline) })
 }
 
-// playDeadlyLong has one request that crashes the servers which run it, and whose caller goes on to send it.
-func playDeadlyLong(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	if err := begin(f, 7); err != nil {
-		return false, err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	usual(ctx, f)
-	if err := rest(ctx, 4*time.Second); err != nil {
-		return false, err
-	}
-	path := "/recall" + deadlyMark + "/1"
-	if trouble {
-		f.note("a request that crashes its servers begins to come")
-		comeBack(ctx, f, path, time.Second)
-	}
-	if err := rest(ctx, 100*time.Second); err != nil {
-		return false, err
-	}
-	cancel()
-	time.Sleep(1500 * time.Millisecond)
-	return f.judge.deadlyBudget(path, kormsuWindow), nil
-}
-
 // playDeadlyDark has one request under which the machines of the servers that run it go dark for three seconds.
 func playDeadlyDark(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	f.silentEnds = true
--- a/review/_fleet3/main.go
+++ b/review/_fleet3/main.go
@@ -15,7 +15,6 @@
 
 // cases holds the cases by name. Each returns whether the rule held.
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) (bool, error){
-	"deadlylong": playDeadlyLong,
 	"deadlydark": playDeadlyDark,
 	"unlisted":   playUnlisted,
 	"owners":     playOwners,
